Set down the folders, the core types and the build

Cause: every other part stands on the shape: packages by concern, a thread for each duty joined by bounded rings, immutable values with comparison operators, std::function hooks.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# The project's entry points; each works on a fresh Debian 12 machine.
+PACKAGES := libnghttp2-dev libcpp-httplib-dev libboost-program-options-dev \
+  libboost-log-dev libboost-dev libabsl-dev libcriterion-dev librapidcheck-dev \
+  nlohmann-json3-dev libmsgpack-cxx-dev libxxhash-dev ninja-build cmake g++ \
+  clang-format-16 clang-tidy-16
+SOURCES := $(shell git ls-files '*.cpp' '*.hpp')
+UNITS := $(filter %.cpp,$(SOURCES))
+JOBS ?= $(shell nproc)
+
+.PHONY: deps build test demo bench report lint format format-check test-sanitized clean
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -q && \
+	  apt-get install -y -q --no-install-recommends $(PACKAGES))
+
+build: deps
+	cmake --preset release
+	cmake --build build -j $(JOBS)
+
+test: build
+	ctest --test-dir build --output-on-failure
+
+format-check: deps
+	clang-format-16 --dry-run --Werror $(SOURCES)
+
+format: deps
+	clang-format-16 -i $(SOURCES)
+
+lint: build
+	printf '%s\n' $(UNITS) | xargs -P $(JOBS) -n 1 clang-tidy-16 -p build --quiet
+
+test-sanitized: deps
+	cmake --preset asan
+	cmake --build build-asan -j $(JOBS)
+	ctest --test-dir build-asan --output-on-failure
+	cmake --preset tsan
+	cmake --build build-tsan -j $(JOBS)
+	ctest --test-dir build-tsan --output-on-failure
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/oriolefall/core/answer.hpp
@@ -0,0 +1,54 @@
+#ifndef ORIOLEFALL_CORE_ANSWER_HPP
+#define ORIOLEFALL_CORE_ANSWER_HPP
+
+#include "oriolefall/core/bounded_ring.hpp"
+#include "oriolefall/core/verdict.hpp"
+
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace oriolefall::core {
+
+/// One token of a generated answer.
+struct answer_token
+{
+    /// Its place in the answer, from 0.
+    std::uint64_t index = 0;
+    std::string text;
+    auto operator<=>(const answer_token&) const = default;
+};
+
+/// The answer of a plain service, whole.
+struct answer_body
+{
+    int status = 200;
+    std::string content_type;
+    std::string body;
+    auto operator<=>(const answer_body&) const = default;
+};
+
+/// The last part of every answer.
+struct answer_end
+{
+    core::verdict verdict;
+    /// When refused: the earliest time at which a repeat makes sense.
+    absl::Duration retry_after = absl::ZeroDuration();
+    /// Why the engine stopped, such as "stop" or "length"; for `ran` only.
+    std::string finish_reason;
+    std::strong_ordering operator<=>(const answer_end&) const = default;
+};
+
+using answer_part = std::variant<answer_token, answer_body, answer_end>;
+
+/// Carries one request's answer from a backend lane to the caller's thread.
+using answer_ring = bounded_ring<answer_part>;
+using answer_ring_ptr = std::shared_ptr<answer_ring>;
+
+} // namespace oriolefall::core
+
+#endif
--- /dev/null
+++ b/oriolefall/core/clock.cpp
@@ -0,0 +1,25 @@
+#include "oriolefall/core/clock.hpp"
+
+namespace oriolefall::core {
+
+namespace {
+constexpr absl::Duration longest_wait = absl::Hours(24);
+} // namespace
+
+absl::Time monotonic_now()
+{
+    const auto since_start =
+        std::chrono::steady_clock::now().time_since_epoch();
+    return absl::UnixEpoch() + absl::FromChrono(since_start);
+}
+
+std::chrono::steady_clock::time_point to_steady(absl::Time time)
+{
+    const absl::Time latest = monotonic_now() + longest_wait;
+    const absl::Duration since_start =
+        std::min(time, latest) - absl::UnixEpoch();
+    return std::chrono::steady_clock::time_point(
+        absl::ToChronoNanoseconds(since_start));
+}
+
+} // namespace oriolefall::core
--- /dev/null
+++ b/oriolefall/core/request.hpp
@@ -0,0 +1,50 @@
+#ifndef ORIOLEFALL_CORE_REQUEST_HPP
+#define ORIOLEFALL_CORE_REQUEST_HPP
+
+#include "oriolefall/core/ids.hpp"
+
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace oriolefall::core {
+
+/// What the decisions need to know of a caller's request; no encoding of it.
+struct request
+{
+    request_id id;
+    workspace_id workspace;
+    class_name service_class;
+    /// Model asked for; empty for a plain service.
+    model_name model;
+    std::optional<idempotency_key> key;
+    /// Estimated length of the prompt, in tokens.
+    std::uint32_t prompt_tokens = 0;
+    /// The caller's limit on the answer, in tokens; 0 for none.
+    std::uint32_t max_tokens = 0;
+    /// Size of the body held for it, in bytes.
+    std::uint32_t body_bytes = 0;
+    /// Hash of the head of the prompt: equal heads share an engine's cache.
+    std::uint64_t prefix_hash = 0;
+    auto operator<=>(const request&) const = default;
+};
+
+/// What is sent on to the backend server. Immutable, shared between threads.
+struct payload
+{
+    /// Path at the backend server, such as "/v1/chat/completions".
+    std::string path;
+    std::string content_type = "application/json";
+    std::string body;
+    auto operator<=>(const payload&) const = default;
+};
+
+using payload_ptr = std::shared_ptr<const payload>;
+
+} // namespace oriolefall::core
+
+#endif
