Carry out calls to backend servers on a pool of lanes

Cause: the whole path needs calls that stream, can be cancelled from another thread and tell whether they may have run.

The finish reason moves to the token that carries it.

--- a/oriolefall/backend/call_order.hpp
+++ b/oriolefall/backend/call_order.hpp
@@ -5,7 +5,9 @@
 #include "oriolefall/core/backend_server.hpp"
 #include "oriolefall/core/request.hpp"
 #include "oriolefall/decision/action.hpp"
+#include "oriolefall/decision/event.hpp"
 
+#include <functional>
 #include <optional>
 
 namespace oriolefall::backend {
@@ -18,6 +20,9 @@
     core::payload_ptr payload;
     std::optional<core::idempotency_key> key;
     core::answer_ring_ptr answers;
+    /// Takes the end of the call; called exactly once, by a lane's thread.
+    /// Must not block.
+    std::function<void(const decision::call_ended&)> ended;
 };
 
 } // namespace oriolefall::backend
--- /dev/null
+++ b/oriolefall/backend/connection_cache.cpp
@@ -0,0 +1,60 @@
+#include "oriolefall/backend/connection_cache.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace oriolefall::backend {
+
+namespace {
+
+std::string key_of(const core::endpoint& endpoint)
+{
+    return absl::StrCat(endpoint.address, ":", endpoint.port);
+}
+
+} // namespace
+
+connection_cache::connection_cache(const lane_settings& settings)
+    : settings_(settings)
+{
+}
+
+connection_ptr connection_cache::take(const core::endpoint& endpoint)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        std::vector<connection_ptr>& idle = idle_[key_of(endpoint)];
+        if (!idle.empty()) {
+            connection_ptr connection = std::move(idle.back());
+            idle.pop_back();
+            return connection;
+        }
+    }
+    return make(endpoint);
+}
+
+connection_ptr connection_cache::make(const core::endpoint& endpoint) const
+{
+    auto connection =
+        std::make_shared<httplib::Client>(endpoint.address, endpoint.port);
+    connection->set_keep_alive(true);
+    connection->set_tcp_nodelay(true);
+    connection->set_follow_location(false);
+    connection->set_connection_timeout(
+        absl::ToChronoMicroseconds(settings_.connect_timeout));
+    connection->set_write_timeout(
+        absl::ToChronoMicroseconds(settings_.write_timeout));
+    return connection;
+}
+
+void connection_cache::give_back(const core::endpoint& endpoint,
+                                 connection_ptr connection)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<connection_ptr>& idle = idle_[key_of(endpoint)];
+    if (idle.size() < settings_.idle_connections)
+        idle.push_back(std::move(connection));
+}
+
+} // namespace oriolefall::backend
--- a/oriolefall/core/answer.hpp
+++ b/oriolefall/core/answer.hpp
@@ -20,6 +20,8 @@
     /// Its place in the answer, from 0.
     std::uint64_t index = 0;
     std::string text;
+    /// Why the engine stopped here, such as "stop" or "length"; else empty.
+    std::string finish_reason;
     auto operator<=>(const answer_token&) const = default;
 };
 
@@ -38,8 +40,6 @@
     core::verdict verdict;
     /// When refused: the earliest time at which a repeat makes sense.
     absl::Duration retry_after = absl::ZeroDuration();
-    /// Why the engine stopped, such as "stop" or "length"; for `ran` only.
-    std::string finish_reason;
     std::strong_ordering operator<=>(const answer_end&) const = default;
 };
 
--- a/oriolefall/core/bounded_ring.hpp
+++ b/oriolefall/core/bounded_ring.hpp
@@ -101,6 +101,19 @@
         return true;
     }
 
+    /// Blocks like `push`, until `until` at the latest. `value` is moved from
+    /// only when true is returned.
+    bool push_until(T& value, std::chrono::steady_clock::time_point until)
+    {
+        std::unique_lock lock(mutex_);
+        const bool ready = not_full_.wait_until(
+            lock, until, [this] { return closed_ || has_room(); });
+        if (!ready || closed_)
+            return false;
+        put(std::move(value));
+        return true;
+    }
+
     /// Reserves a place. Never blocks; nothing when full or closed.
     [[nodiscard]] std::optional<reservation> try_reserve()
     {
