--- /dev/null
+++ b/programs/bench/main.cpp
@@ -0,0 +1,62 @@
+#include "bench/commands.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+constexpr int wrong_use = 2;
+
+struct command
+{
+    std::string_view name;
+    std::string_view summary;
+    oriolefall::bench::command_hook run;
+};
+
+std::vector<command> commands()
+{
+    namespace bench = oriolefall::bench;
+    return {
+        {"check-trace", "FILE: reads a trace and says what it holds",
+         bench::check_trace_command},
+    };
+}
+
+int print_usage(const std::vector<command>& known)
+{
+    std::cerr << "usage: oriolefall-bench COMMAND ...\n";
+    for (const command& each : known)
+        std::cerr << "  " << each.name << "  " << each.summary << '\n';
+    return wrong_use;
+}
+
+int run(std::span<const std::string> words)
+{
+    const std::vector<command> known = commands();
+    if (words.empty())
+        return print_usage(known);
+    const auto found = std::ranges::find(known, words[0], &command::name);
+    if (found == known.end())
+        return print_usage(known);
+    return found->run(words.subspan(1));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const std::vector<std::string> words(argv + 1, argv + argc);
+        return run(words);
+    } catch (const std::exception& error) {
+        std::cerr << "oriolefall-bench: " << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
