Read instance settings and deployments into checked values

Everything that runs needs settings whose faults are told all at once, with their path, what was found and what is allowed.

--- /dev/null
+++ b/oriolefall/settings/json_text.hpp
@@ -0,0 +1,23 @@
+#ifndef ORIOLEFALL_SETTINGS_JSON_TEXT_HPP
+#define ORIOLEFALL_SETTINGS_JSON_TEXT_HPP
+
+#include "oriolefall/core/settings_error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace oriolefall::settings {
+
+using errors = std::vector<core::settings_error>;
+
+/// Parses JSON with comments. A key that stands twice in one object is an
+/// error, since the later one would silently win. Any thread.
+[[nodiscard]] std::variant<nlohmann::json, errors>
+parse_json(std::string_view text);
+
+} // namespace oriolefall::settings
+
+#endif
