Add membership: member table, peers, watchers and entry choice

Instances have nothing of their own to agree through, and the platform's list of them lags.

Entry choice and watchers are chosen by rendezvous.

--- /dev/null
+++ b/oriolefall/membership/rendezvous.hpp
@@ -0,0 +1,17 @@
+#ifndef ORIOLEFALL_MEMBERSHIP_RENDEZVOUS_HPP
+#define ORIOLEFALL_MEMBERSHIP_RENDEZVOUS_HPP
+
+#include <cstdint>
+#include <string_view>
+
+namespace oriolefall::membership {
+
+/// Weight of `candidate` for `key`: the highest weight wins. The same in every
+/// process, so all instances choose alike. Rendezvous hashing (Thaler and
+/// Ravishankar, IEEE/ACM Trans. Networking 6(1), 1998) over XXH3.
+[[nodiscard]] std::uint64_t rendezvous_weight(std::string_view key,
+                                              std::string_view candidate);
+
+} // namespace oriolefall::membership
+
+#endif
--- /dev/null
+++ b/tests/membership/choice_test.cpp
@@ -0,0 +1,234 @@
+#include "fleet.hpp"
+
+#include "oriolefall/membership/entry_choice.hpp"
+#include "oriolefall/membership/peer_choice.hpp"
+#include "oriolefall/membership/watcher_choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using namespace oriolefall::membership;
+
+namespace {
+
+using graph = std::map<core::instance_id, std::set<core::instance_id>>;
+
+graph peer_graph(const std::vector<member>& fleet)
+{
+    graph links;
+    for (const member& self : fleet) {
+        const auto peers = choose_peers(self, fleet, 2);
+        links[self.id] = {peers.begin(), peers.end()};
+    }
+    return links;
+}
+
+std::size_t reached_from(const graph& links, const core::instance_id& start)
+{
+    std::set<core::instance_id> seen{start};
+    std::vector<core::instance_id> todo{start};
+    while (!todo.empty()) {
+        const core::instance_id at = todo.back();
+        todo.pop_back();
+        for (const core::instance_id& next : links.at(at)) {
+            if (seen.insert(next).second)
+                todo.push_back(next);
+        }
+    }
+    return seen.size();
+}
+
+/// Any mix of states in a fleet of any shape.
+std::vector<member> any_fleet()
+{
+    const auto size = *rc::gen::inRange<std::size_t>(1, 120);
+    const auto regions = *rc::gen::inRange<std::size_t>(1, 6);
+    const auto domains = *rc::gen::inRange<std::size_t>(1, 4);
+    std::vector<member> fleet = tests::make_fleet(size, regions, domains);
+    for (member& value : fleet)
+        value.state = *rc::gen::elementOf(std::vector<member_state>(
+            all_member_states.begin(), all_member_states.end()));
+    return fleet;
+}
+
+entry_query any_query()
+{
+    return {
+        core::workspace_id("workspace" +
+                           std::to_string(*rc::gen::inRange(0, 320))),
+        core::region_name("region" + std::to_string(*rc::gen::inRange(0, 6))),
+        *rc::gen::inRange<std::uint32_t>(0, 8)};
+}
+
+} // namespace
+
+Test(peer_choice, graph_is_connected_symmetric_and_bounded)
+{
+    cr_assert(rc::check("peer graph", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 200);
+        const auto regions = *rc::gen::inRange<std::size_t>(1, 6);
+        const auto domains = *rc::gen::inRange<std::size_t>(1, 4);
+        const auto fleet = tests::make_fleet(size, regions, domains);
+        const graph links = peer_graph(fleet);
+        RC_ASSERT(reached_from(links, fleet.front().id) == size);
+        for (const auto& [id, peers] : links) {
+            RC_ASSERT(!peers.contains(id));
+            RC_ASSERT(peers.size() <=
+                      4 + 2 * (domains - 1) + 2 * (regions - 1));
+            for (const core::instance_id& peer : peers)
+                RC_ASSERT(links.at(peer).contains(id));
+        }
+    }));
+}
+
+Test(peer_choice, stays_connected_before_anyone_notes_a_lost_failure_domain)
+{
+    cr_assert(rc::check("peer graph without a failure domain", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(18, 200);
+        const auto regions = *rc::gen::inRange<std::size_t>(1, 6);
+        const auto fleet = tests::make_fleet(size, regions, 3);
+        const core::location lost = (*rc::gen::elementOf(fleet)).location;
+        graph links = peer_graph(fleet);
+        for (const member& value : fleet) {
+            if (value.location == lost)
+                links.erase(value.id);
+        }
+        for (auto& [id, peers] : links)
+            std::erase_if(peers, [&links](const core::instance_id& peer) {
+                return !links.contains(peer);
+            });
+        RC_ASSERT(reached_from(links, links.begin()->first) == links.size());
+    }));
+}
+
+Test(peer_choice, few_links_cross_regions_at_the_planned_size)
+{
+    const auto fleet = tests::make_fleet(440, 5, 3);
+    std::map<core::instance_id, core::region_name> region;
+    for (const member& value : fleet)
+        region[value.id] = value.location.region;
+    std::size_t crossing = 0;
+    for (const auto& [id, peers] : peer_graph(fleet))
+        crossing += static_cast<std::size_t>(
+            std::ranges::count_if(peers, [&](const core::instance_id& peer) {
+                return region[peer] != region[id];
+            }));
+    // 10 pairs of regions, 2 links each, seen from both ends.
+    cr_assert_leq(crossing, 40);
+}
+
+Test(watcher_choice, takes_a_few_live_ones_of_each_failure_domain)
+{
+    cr_assert(rc::check("watchers", [] {
+        const auto fleet = any_fleet();
+        const auto chosen = choose_watchers(fleet, 2);
+        std::map<core::location, std::size_t> live;
+        std::map<core::location, std::size_t> watching;
+        for (const member& value : fleet) {
+            if (value.state == member_state::live)
+                ++live[value.location];
+            if (std::ranges::binary_search(chosen, value.id)) {
+                RC_ASSERT(value.state == member_state::live);
+                ++watching[value.location];
+            }
+        }
+        for (const auto& [location, count] : live)
+            RC_ASSERT(watching[location] == std::min<std::size_t>(2, count));
+    }));
+}
+
+Test(entry_choice, never_names_a_leaving_or_dead_instance)
+{
+    cr_assert(rc::check("named ones", [] {
+        const auto fleet = any_fleet();
+        const auto choice = choose_entry(any_query(), fleet, {});
+        const auto live = static_cast<std::size_t>(
+            std::ranges::count(fleet, member_state::live, &member::state));
+        for (const member& value : choice.members) {
+            RC_ASSERT(value.state != member_state::leaving);
+            RC_ASSERT(value.state != member_state::dead);
+            RC_ASSERT(live == 0 || value.state == member_state::live);
+        }
+        if (live > 0)
+            RC_ASSERT(choice.members.size() == std::min<std::size_t>(3, live));
+    }));
+}
+
+Test(entry_choice, near_ones_come_first_and_the_second_from_elsewhere)
+{
+    cr_assert(rc::check("order", [] {
+        const auto fleet = any_fleet();
+        const entry_query query = any_query();
+        const auto choice = choose_entry(query, fleet, {});
+        const auto is_near = [&](const member& value) {
+            return value.location.region == query.region;
+        };
+        RC_ASSERT(std::ranges::is_partitioned(choice.members, is_near));
+        std::set<core::location> near;
+        for (const member& value : fleet) {
+            if (value.state == member_state::live && is_near(value))
+                near.insert(value.location);
+        }
+        if (near.size() > 1)
+            RC_ASSERT(choice.members[0].location != choice.members[1].location);
+    }));
+}
+
+Test(entry_choice, a_member_that_goes_moves_only_its_own_workspaces)
+{
+    cr_assert(rc::check("little moves", [] {
+        const auto size = *rc::gen::inRange<std::size_t>(2, 40);
+        auto fleet = tests::make_fleet(size, 1, 1);
+        const entry_query query{any_query().workspace,
+                                fleet.front().location.region};
+        const auto before = choose_entry(query, fleet, {}).members.front();
+        const auto gone = *rc::gen::inRange<std::size_t>(0, size);
+        const bool was_first = fleet[gone].id == before.id;
+        fleet[gone].state = member_state::leaving;
+        const auto after = choose_entry(query, fleet, {}).members.front();
+        RC_ASSERT(was_first || after == before);
+    }));
+}
+
+// Rendezvous weights are uniform, so the first places of W workspaces over n
+// instances are multinomial: within six standard deviations of W / n.
+Test(entry_choice, first_places_are_spread_evenly)
+{
+    constexpr std::size_t workspaces = 12000;
+    for (const std::size_t size : {3U, 6U, 7U, 30U, 88U}) {
+        const auto fleet = tests::make_fleet(size, 1, 3);
+        std::map<core::instance_id, std::size_t> first;
+        for (std::size_t at = 0; at < workspaces; ++at) {
+            const entry_query query{
+                core::workspace_id("w" + std::to_string(at)),
+                fleet.front().location.region};
+            ++first[choose_entry(query, fleet, {}).members.front().id];
+        }
+        const double mean =
+            static_cast<double>(workspaces) / static_cast<double>(size);
+        cr_assert_eq(first.size(), size);
+        for (const auto& [id, count] : first)
+            cr_assert_lt(std::abs(static_cast<double>(count) - mean),
+                         6 * std::sqrt(mean));
+    }
+}
+
+Test(entry_choice, shards_of_a_large_workspace_use_many_instances)
+{
+    const auto fleet = tests::make_fleet(6, 1, 3);
+    std::set<core::instance_id> used;
+    for (std::uint32_t shard = 0; shard < 64; ++shard)
+        used.insert(choose_entry({core::workspace_id("large"),
+                                  fleet.front().location.region, shard},
+                                 fleet, {})
+                        .members.front()
+                        .id);
+    cr_assert_eq(used.size(), fleet.size());
+}
