Add the platform stand-in

Settings, leases and membership rest on the platform's object API, so tests need one whose faults can be switched on: outage, slow calls, answers lost after the write took effect, silent watches, stale reads, a rate limit and a lagging instance list.

--- a/programs/stand_ins/main.cpp
+++ b/programs/stand_ins/main.cpp
@@ -1,4 +1,5 @@
 #include "stand_ins/engine_server.hpp"
+#include "stand_ins/platform_server.hpp"
 #include "stand_ins/service_server.hpp"
 
 #include <absl/strings/str_split.h>
@@ -124,13 +125,26 @@
     return announce_and_wait(server.port());
 }
 
+int serve_platform(const arguments& given)
+{
+    host_settings host;
+    std::size_t history = 10000;
+    auto known = host_options(host);
+    known.add_options()("history", with_default(history),
+                        "changes that a watch can still be told");
+    parse(given, known);
+    const platform_server server(history, host);
+    return announce_and_wait(server.port());
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     block_signals();
     const std::array kinds{kind{"engine", serve_engine},
-                           kind{"service", serve_service}};
+                           kind{"service", serve_service},
+                           kind{"platform", serve_platform}};
     const arguments given(argv + 1, argv + argc);
     const auto found = std::ranges::find_if(kinds, [&](const kind& k) {
         return !given.empty() && k.name == given.front();
--- a/stand_ins/http_host.cpp
+++ b/stand_ins/http_host.cpp
@@ -1,11 +1,7 @@
 #include "stand_ins/http_host.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <ranges>
-#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace oriolefall::stand_ins {
@@ -16,23 +12,6 @@
 constexpr std::size_t requests_per_connection = 1'000'000;
 constexpr time_t idle_connection_s = 60;
 
-/// The port at the other end of a socket; 0 when it has none.
-int peer_port(int socket)
-{
-    sockaddr_in address{};
-    socklen_t size = sizeof(address);
-    if (getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0)
-        return 0;
-    return ntohs(address.sin_port);
-}
-
-int highest_socket()
-{
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, 65536));
-}
-
 } // namespace
 
 http_host::http_host(const host_settings& settings,
@@ -73,15 +52,6 @@
     thread_.join();
 }
 
-void cut_connection(const httplib::Request& request)
-{
-    const auto sockets = std::views::iota(0, highest_socket());
-    const auto found = std::ranges::find(sockets, request.remote_port,
-                                         [](int s) { return peer_port(s); });
-    if (found != sockets.end())
-        ::shutdown(*found, SHUT_RDWR);
-}
-
 void set_error(httplib::Response& response, int status, std::string_view type,
                std::string_view message)
 {
--- a/stand_ins/http_host.hpp
+++ b/stand_ins/http_host.hpp
@@ -46,10 +46,6 @@
     std::thread thread_;
 };
 
-/// Cuts the connection of a request that is being handled, so that no answer
-/// reaches the client. For the request's own worker.
-void cut_connection(const httplib::Request& request);
-
 /// Gives an error in the JSON shape of language-model services.
 void set_error(httplib::Response& response, int status, std::string_view type,
                std::string_view message);
--- a/stand_ins/service_server.cpp
+++ b/stand_ins/service_server.cpp
@@ -1,5 +1,7 @@
 #include "stand_ins/service_server.hpp"
 
+#include "stand_ins/connection.hpp"
+
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -57,7 +59,7 @@
     std::this_thread::sleep_for(
         std::chrono::milliseconds(result.faults.delay_ms));
     if (result.faults.drop_answer)
-        cut_connection(request);
+        connection::of(request).cut();
     const json body{{"id", id_ + "-" + std::to_string(result.id)},
                     {"path", request.path},
                     {"runs", result.runs}};
