Answer callers over HTTP: chat completions, plain services, operators' paths

Cause: callers and operators had no way into an instance. Change: front::server over cpp-httplib with the usual chat completion protocol, streamed and not; plain services; entry, models, metrics, health, status and explain. Decoding and encoding stand in files of their own, apart from the routes. A streamed answer that breaks ends with an error event and without [DONE]; tokens are passed on in order and each once.

--- /dev/null
+++ b/oriolefall/front/routes.cpp
@@ -0,0 +1,278 @@
+#include "oriolefall/front/routes.hpp"
+
+#include "oriolefall/front/chat_answer.hpp"
+#include "oriolefall/front/chat_codec.hpp"
+#include "oriolefall/front/entry_codec.hpp"
+#include "oriolefall/front/error_reply.hpp"
+#include "oriolefall/front/http_reply.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <httplib.h>
+#include <utility>
+
+namespace oriolefall::front {
+
+namespace {
+
+constexpr const char* workspace_header = "X-Workspace";
+constexpr const char* class_header = "X-Service-Class";
+constexpr const char* request_id_header = "X-Request-Id";
+constexpr const char* key_header = "Idempotency-Key";
+constexpr const char* metrics_type = "text/plain; version=0.0.4";
+constexpr const char* plain_type = "text/plain";
+constexpr const char* engine_path = "/v1/chat/completions";
+constexpr int service_unavailable = 503;
+/// Longest name of a workspace, class or key, in bytes.
+constexpr std::size_t max_name_bytes = 256;
+
+std::optional<core::idempotency_key> key_of(const httplib::Request& request)
+{
+    const std::string value = request.get_header_value(key_header);
+    return value.empty() ? std::nullopt
+                         : std::optional(core::idempotency_key(value));
+}
+
+/// What the headers of every request for work carry.
+std::variant<core::request, refusal>
+parse_headers(const httplib::Request& request)
+{
+    core::request parsed;
+    parsed.workspace =
+        core::workspace_id(request.get_header_value(workspace_header));
+    if (parsed.workspace.value().empty())
+        return refusal{core::reason::unauthorized,
+                       "the header X-Workspace is missing"};
+    parsed.key = key_of(request);
+    const std::size_t key_bytes = parsed.key ? parsed.key->value().size() : 0;
+    if (std::max(key_bytes, parsed.workspace.value().size()) > max_name_bytes)
+        return refusal{core::reason::invalid_request,
+                       "X-Workspace or Idempotency-Key is too long"};
+    parsed.body_bytes = static_cast<std::uint32_t>(request.body.size());
+    return parsed;
+}
+
+refusal unknown_class(const core::class_name& name)
+{
+    return {core::reason::unknown_class,
+            "there is no such service class: \"" + name.value() + "\""};
+}
+
+} // namespace
+
+routes::routes(const front_settings& settings, handlers handlers)
+    : settings_(settings), handlers_(std::move(handlers))
+{
+}
+
+void routes::install(httplib::Server& http) const
+{
+    using httplib::Request;
+    using httplib::Response;
+    http.Post("/v1/chat/completions",
+              [this](const Request& request, Response& response) {
+                  answer_chat(request, response);
+              });
+    http.Post("/v1/services/([^/]+)(/.*)?",
+              [this](const Request& request, Response& response) {
+                  answer_service(request, response);
+              });
+    http.Get("/v1/models", [this](const Request&, Response& response) {
+        response.set_content(encode_models(handlers_.models()), json_type);
+    });
+    http.Get("/v1/entry", [this](const Request& request, Response& response) {
+        answer_entry(request, response);
+    });
+    http.set_error_handler([](const Request&, Response& response) {
+        if (!response.body.empty())
+            return;
+        const int status = response.status;
+        set_reply(make_refusal(core::reason::invalid_request), response);
+        response.status = status;
+    });
+    install_operator_paths(http);
+}
+
+void routes::install_operator_paths(httplib::Server& http) const
+{
+    using httplib::Request;
+    using httplib::Response;
+    http.Get("/metrics", [this](const Request&, Response& response) {
+        response.set_content(handlers_.metrics(), metrics_type);
+    });
+    http.Get("/healthz", [](const Request&, Response& response) {
+        response.set_content("ok\n", plain_type);
+    });
+    http.Get("/readyz", [this](const Request&, Response& response) {
+        answer_ready(response);
+    });
+    http.Get("/v1/status", [this](const Request&, Response& response) {
+        response.set_content(handlers_.status(), json_type);
+    });
+    http.Get("/v1/explain/([0-9]+)",
+             [this](const Request& request, Response& response) {
+                 answer_explain(request, response);
+             });
+}
+
+void routes::answer_chat(const httplib::Request& request,
+                         httplib::Response& response) const
+{
+    auto decoded = parse_chat_request(request.body);
+    if (const auto* fault = std::get_if<codec_error>(&decoded))
+        return refuse({core::reason::invalid_request, fault->message},
+                      response);
+    auto& chat = std::get<chat_request>(decoded);
+    const auto parsed = parse_chat(request, chat);
+    if (const auto* refused = std::get_if<refusal>(&parsed))
+        return refuse(*refused, response);
+    const auto& accepted = std::get<core::request>(parsed);
+    response.set_header(request_id_header, std::to_string(accepted.id.value()));
+    auto submitted = submit(
+        accepted, {.path = engine_path, .body = std::move(chat.engine_body)});
+    if (const auto* refused = std::get_if<refusal>(&submitted))
+        return refuse(*refused, response);
+    auto& reader = std::get<answer_reader>(submitted);
+    chat_heading heading{accepted.id, chat.model,
+                         absl::ToUnixSeconds(absl::Now())};
+    const presence_hook here = [] { return true; };
+    if (chat.stream)
+        answer_with_events(std::move(reader), std::move(heading), here,
+                           response);
+    else
+        answer_with_completion(std::move(reader), heading, chat.prompt_tokens,
+                               here, response);
+}
+
+void routes::answer_service(const httplib::Request& request,
+                            httplib::Response& response) const
+{
+    const core::class_name name(request.matches[1].str());
+    const auto parsed = parse_service(request, name);
+    if (const auto* refused = std::get_if<refusal>(&parsed))
+        return refuse(*refused, response);
+    const auto& accepted = std::get<core::request>(parsed);
+    response.set_header(request_id_header, std::to_string(accepted.id.value()));
+    const std::string rest = request.matches[2].str();
+    core::payload payload{.path = rest.size() > 1 ? rest : "/" + name.value(),
+                          .body = request.body};
+    if (request.has_header("Content-Type"))
+        payload.content_type = request.get_header_value("Content-Type");
+    auto submitted = submit(accepted, std::move(payload));
+    if (const auto* refused = std::get_if<refusal>(&submitted))
+        return refuse(*refused, response);
+    answer_with_body(
+        std::move(std::get<answer_reader>(submitted)), [] { return true; },
+        response);
+}
+
+void routes::answer_entry(const httplib::Request& request,
+                          httplib::Response& response) const
+{
+    const std::string workspace =
+        request.has_param("workspace")
+            ? request.get_param_value("workspace")
+            : request.get_header_value(workspace_header);
+    if (workspace.empty())
+        return refuse({core::reason::invalid_request,
+                       "the parameter workspace is missing"},
+                      response);
+    const auto answer = handlers_.entry(core::workspace_id(workspace));
+    response.set_content(encode_entry(answer), json_type);
+}
+
+void routes::answer_explain(const httplib::Request& request,
+                            httplib::Response& response) const
+{
+    std::uint64_t number = 0;
+    const bool is_id = absl::SimpleAtoi(request.matches[1].str(), &number);
+    const auto text =
+        is_id ? handlers_.explain(core::request_id(number)) : std::nullopt;
+    if (text)
+        response.set_content(*text, json_type);
+    else
+        response.status = 404;
+}
+
+void routes::answer_ready(httplib::Response& response) const
+{
+    const bool ready = handlers_.ready();
+    response.set_content(ready ? "ready\n" : "not ready\n", plain_type);
+    if (!ready)
+        response.status = service_unavailable;
+}
+
+std::variant<core::request, refusal>
+routes::parse_chat(const httplib::Request& request,
+                   const chat_request& chat) const
+{
+    auto parsed = parse_headers(request);
+    auto* accepted = std::get_if<core::request>(&parsed);
+    if (accepted == nullptr)
+        return parsed;
+    accepted->service_class =
+        core::class_name(request.get_header_value(class_header));
+    const auto found = handlers_.find_class(accepted->service_class);
+    if (!found || found->kind != core::call_kind::generate)
+        return unknown_class(accepted->service_class);
+    if (!knows_model(chat.model))
+        return refusal{core::reason::unknown_model,
+                       "there is no such model: \"" + chat.model.value() +
+                           "\""};
+    accepted->id = handlers_.next_request_id();
+    accepted->model = chat.model;
+    accepted->prompt_tokens = chat.prompt_tokens;
+    accepted->max_tokens = chat.max_tokens;
+    accepted->prefix_hash = chat.prefix_hash;
+    return parsed;
+}
+
+std::variant<core::request, refusal>
+routes::parse_service(const httplib::Request& request,
+                      const core::class_name& name) const
+{
+    auto parsed = parse_headers(request);
+    auto* accepted = std::get_if<core::request>(&parsed);
+    if (accepted == nullptr)
+        return parsed;
+    const auto found = handlers_.find_class(name);
+    if (!found || found->kind != core::call_kind::service)
+        return unknown_class(name);
+    if (!found->idempotent && !accepted->key)
+        return refusal{core::reason::invalid_request,
+                       "this class needs the header Idempotency-Key"};
+    accepted->id = handlers_.next_request_id();
+    accepted->service_class = name;
+    return parsed;
+}
+
+bool routes::knows_model(const core::model_name& model) const
+{
+    const auto models = handlers_.models();
+    return std::ranges::find(models, model) != models.end();
+}
+
+std::variant<answer_reader, refusal>
+routes::submit(const core::request& request, core::payload payload) const
+{
+    auto answers =
+        std::make_shared<core::answer_ring>(settings_.answer_ring_capacity);
+    const auto refused = handlers_.submit(
+        {request, std::make_shared<const core::payload>(std::move(payload)),
+         answers});
+    if (refused)
+        return refusal{*refused, {}};
+    return answer_reader(request.id, std::move(answers),
+                         settings_.caller_check_interval,
+                         handlers_.caller_gone);
+}
+
+void routes::refuse(const refusal& refusal, httplib::Response& response) const
+{
+    handlers_.refused(refusal.reason);
+    set_reply(make_refusal(refusal.reason, refusal.message), response);
+}
+
+} // namespace oriolefall::front
--- /dev/null
+++ b/tests/front/chat_test.cpp
@@ -0,0 +1,213 @@
+#include "tests/front/fake_instance.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using nlohmann::json;
+using tests::fake_instance;
+
+namespace {
+
+const httplib::Headers caller{{"X-Workspace", "almaty"},
+                              {"X-Service-Class", "rules"}};
+
+httplib::Result post_chat(const fake_instance& instance,
+                          const std::string& body,
+                          const httplib::Headers& headers = caller)
+{
+    httplib::Client client("127.0.0.1", instance.port());
+    return client.Post("/v1/chat/completions", headers, body,
+                       "application/json");
+}
+
+std::optional<core::reason> say_hello(const front::submission& submission)
+{
+    tests::answer_whole(submission.answers, {"hello ", "world"});
+    return std::nullopt;
+}
+
+json error_of(const httplib::Result& result)
+{
+    return json::parse(result->body).at("error");
+}
+
+} // namespace
+
+Test(chat, streams_chunks_and_done)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(instance, tests::chat_body("hi", true));
+    cr_assert(result);
+    cr_assert_eq(result->status, 200);
+    cr_assert_eq(result->get_header_value("X-Request-Id"), "1");
+    const std::string& body = result->body;
+    cr_assert(body.find(R"("content":"hello ")") != std::string::npos);
+    cr_assert(body.find(R"("content":"world")") != std::string::npos);
+    cr_assert(body.find(R"("finish_reason":"stop")") != std::string::npos);
+    cr_assert(body.ends_with("data: [DONE]\n\n"));
+}
+
+Test(chat, answers_whole_without_stream)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(instance, tests::chat_body("hi", false));
+    cr_assert(result);
+    cr_assert_eq(result->status, 200);
+    const json answer = json::parse(result->body);
+    cr_assert_eq(answer.at("object"), "chat.completion");
+    const json& choice = answer.at("choices").at(0);
+    cr_assert_eq(choice.at("message").at("content"), "hello world");
+    cr_assert_eq(choice.at("finish_reason"), "stop");
+    cr_assert_eq(answer.at("usage").at("completion_tokens"), 2);
+}
+
+Test(chat, fills_in_what_the_decisions_need)
+{
+    front::submission seen;
+    fake_instance instance([&](const front::submission& submission) {
+        seen = submission;
+        return say_hello(submission);
+    });
+    const std::string body =
+        R"({"model":"small","max_tokens":9,"user":"x",)"
+        R"("messages":[{"role":"user","content":"12345678901"}]})";
+    cr_assert_eq(post_chat(instance, body)->status, 200);
+    cr_assert_eq(seen.request.workspace.value(), "almaty");
+    cr_assert_eq(seen.request.service_class.value(), "rules");
+    cr_assert_eq(seen.request.model.value(), "small");
+    cr_assert_eq(seen.request.max_tokens, 9);
+    cr_assert_eq(seen.request.body_bytes, body.size());
+    cr_assert_eq(seen.request.prompt_tokens, 5); // "user\n12345678901\n"
+    cr_assert_neq(seen.request.prefix_hash, 0);
+    json expected = json::parse(body);
+    expected["stream"] = true;
+    cr_assert_eq(json::parse(seen.payload->body), expected);
+}
+
+Test(chat, malformed_json_is_400)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(instance, R"({"model":)");
+    cr_assert_eq(result->status, 400);
+    cr_assert_eq(error_of(result).at("verdict"), "not_run");
+    cr_assert_eq(error_of(result).at("reason"), "invalid_request");
+    cr_assert_eq(instance.refusals(core::reason::invalid_request), 1);
+    const auto after = post_chat(instance, tests::chat_body("hi", false));
+    cr_assert_eq(after->status, 200);
+}
+
+Test(chat, deeply_nested_json_is_400)
+{
+    fake_instance instance(say_hello);
+    const std::string body =
+        "{\"a\":" + std::string(200000, '[') + std::string(200000, ']') + "}";
+    cr_assert_eq(post_chat(instance, body)->status, 400);
+}
+
+Test(chat, unknown_class_and_model_are_404)
+{
+    fake_instance instance(say_hello);
+    const auto no_class =
+        post_chat(instance, tests::chat_body("hi", false),
+                  {{"X-Workspace", "almaty"}, {"X-Service-Class", "gold"}});
+    cr_assert_eq(no_class->status, 404);
+    cr_assert_eq(error_of(no_class).at("reason"), "unknown_class");
+    const auto no_model =
+        post_chat(instance, R"({"model":"huge","messages":[{"role":"user"}]})");
+    cr_assert_eq(no_model->status, 404);
+    cr_assert_eq(error_of(no_model).at("reason"), "unknown_model");
+    cr_assert_eq(instance.refusals(core::reason::unknown_model), 1);
+}
+
+Test(chat, missing_workspace_is_401)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(instance, tests::chat_body("hi", false),
+                                  {{"X-Service-Class", "rules"}});
+    cr_assert_eq(result->status, 401);
+    cr_assert_eq(error_of(result).at("reason"), "unauthorized");
+}
+
+Test(chat, refused_by_the_decisions_has_retry_after)
+{
+    fake_instance instance([](const front::submission& submission) {
+        tests::end_answer(submission.answers,
+                          core::not_run{core::reason::queue_full},
+                          absl::Milliseconds(2500));
+        return std::nullopt;
+    });
+    for (const bool stream : {false, true}) {
+        const auto result = post_chat(instance, tests::chat_body("hi", stream));
+        cr_assert_eq(result->status, 429);
+        cr_assert_eq(result->get_header_value("Retry-After"), "3");
+        cr_assert_eq(error_of(result).at("verdict"), "not_run");
+        cr_assert_eq(error_of(result).at("reason"), "queue_full");
+    }
+}
+
+Test(chat, full_ring_is_503)
+{
+    fake_instance instance(
+        [](const front::submission&) { return core::reason::ring_full; });
+    const auto result = post_chat(instance, tests::chat_body("hi", true));
+    cr_assert_eq(result->status, 503);
+    cr_assert(result->has_header("Retry-After"));
+    cr_assert_eq(instance.refusals(core::reason::ring_full), 1);
+}
+
+Test(chat, broken_stream_is_not_passed_off_as_whole)
+{
+    fake_instance instance([](const front::submission& submission) {
+        submission.answers->push(core::answer_token{0, "half ", {}});
+        tests::end_answer(submission.answers,
+                          core::may_have_run{core::reason::connection_lost});
+        return std::nullopt;
+    });
+    const auto streamed = post_chat(instance, tests::chat_body("hi", true));
+    cr_assert_eq(streamed->status, 200);
+    cr_assert(streamed->body.find("event: error") != std::string::npos);
+    cr_assert(streamed->body.find(R"("verdict":"may_have_run")") !=
+              std::string::npos);
+    cr_assert(streamed->body.find("[DONE]") == std::string::npos);
+    cr_assert(streamed->body.find("\"stop\"") == std::string::npos);
+    const auto whole = post_chat(instance, tests::chat_body("hi", false));
+    cr_assert_eq(whole->status, 502);
+    cr_assert_eq(error_of(whole).at("verdict"), "may_have_run");
+}
+
+Test(chat, gap_in_the_tokens_is_a_broken_stream)
+{
+    fake_instance instance([](const front::submission& submission) {
+        submission.answers->push(core::answer_token{0, "a", {}});
+        submission.answers->push(core::answer_token{0, "a", {}});
+        submission.answers->push(core::answer_token{2, "c", {}});
+        tests::end_answer(submission.answers, core::ran{3});
+        return std::nullopt;
+    });
+    const auto result = post_chat(instance, tests::chat_body("hi", true));
+    cr_assert(result->body.find("event: error") != std::string::npos);
+    cr_assert(result->body.find("[DONE]") == std::string::npos);
+}
+
+Test(chat, caller_gone_is_told_while_nothing_flows)
+{
+    core::answer_ring_ptr answers;
+    fake_instance instance([&](const front::submission& submission) {
+        submission.answers->push(core::answer_token{0, "half ", {}});
+        answers = submission.answers;
+        return std::nullopt;
+    });
+    httplib::Client client("127.0.0.1", instance.port());
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = caller;
+    request.body = tests::chat_body("hi", true);
+    request.content_receiver = [](const char*, std::size_t, std::uint64_t,
+                                  std::uint64_t) { return false; };
+    cr_assert(!client.send(request));
+    cr_assert_eq(instance.wait_for_caller_gone().value(), 1);
+}
