--- /dev/null
+++ b/oriolefall/platform/backoff.cpp
@@ -0,0 +1,25 @@
+#include "oriolefall/platform/backoff.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace oriolefall::platform {
+
+double draw_uniform()
+{
+    thread_local std::mt19937_64 generator{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0.0, 1.0)(generator);
+}
+
+absl::Duration backoff_delay(const backoff_settings& settings,
+                             std::uint32_t repeat, const random_hook& random)
+{
+    constexpr std::uint32_t most_doublings = 20;
+    const std::int64_t factor = std::int64_t{1}
+                                << std::min(repeat, most_doublings);
+    const absl::Duration limit =
+        std::min(settings.longest, settings.first * factor);
+    return limit * random();
+}
+
+} // namespace oriolefall::platform
--- /dev/null
+++ b/oriolefall/platform/client.cpp
@@ -0,0 +1,354 @@
+#include "oriolefall/platform/client.hpp"
+
+#include "oriolefall/core/concat.hpp"
+#include "oriolefall/platform/http_status.hpp"
+#include "oriolefall/platform/wire.hpp"
+
+#include <absl/strings/numbers.h>
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cctype>
+#include <utility>
+
+namespace oriolefall::platform {
+
+namespace {
+
+/// Why the platform did not serve a call; nothing when it did.
+std::optional<failure> failure_of(int status)
+{
+    if (status == http_status::too_many_requests)
+        return failure::rate_limited;
+    if (status == http_status::unavailable)
+        return failure::outage;
+    if (status >= http_status::first_server_error)
+        return failure::bad_answer;
+    return std::nullopt;
+}
+
+bool is_success(int status)
+{
+    return status < http_status::first_error;
+}
+
+absl::Duration parse_retry_after(const httplib::Response& response)
+{
+    double seconds = 0.0;
+    if (!absl::SimpleAtod(response.get_header_value("Retry-After"), &seconds))
+        return absl::ZeroDuration();
+    return absl::Seconds(std::max(0.0, seconds));
+}
+
+httplib::Headers condition_headers(const write_condition& condition)
+{
+    if (std::holds_alternative<if_absent>(condition))
+        return {{"If-None-Match", "*"}};
+    if (const auto* expected = std::get_if<if_version>(&condition))
+        return {{"If-Match", core::concat(expected->version)}};
+    return {};
+}
+
+std::string object_target(const std::string& path)
+{
+    return core::concat("/objects", path);
+}
+
+/// The path as it may stand in a URL; paths hold no other characters.
+bool is_path(const std::string& path)
+{
+    return path.starts_with('/') &&
+           std::ranges::all_of(path, [](unsigned char c) {
+               return std::isalnum(c) != 0 || c == '/' || c == '.' ||
+                      c == '_' || c == '-';
+           });
+}
+
+} // namespace
+
+std::string_view to_string(call_type value)
+{
+    constexpr std::array<std::string_view, 7> names{
+        "read", "list", "write", "read_back", "watch", "instances", "announce"};
+    const auto index = static_cast<std::size_t>(value);
+    assert(index < names.size());
+    return names[index];
+}
+
+client::client(client_settings settings)
+    : settings_(std::move(settings)),
+      budget_(settings_.calls_per_second, settings_.burst),
+      http_(std::make_unique<httplib::Client>(settings_.endpoint.address,
+                                              settings_.endpoint.port))
+{
+    http_->set_keep_alive(true);
+    http_->set_tcp_nodelay(true);
+    http_->set_connection_timeout(
+        absl::ToChronoMicroseconds(settings_.connect_limit));
+    http_->set_socket_options([this](auto) { give_up_when_stopped(); });
+    http_->set_write_timeout(
+        absl::ToChronoMicroseconds(settings_.answer_limit));
+}
+
+client::~client() = default;
+
+void client::give_up_when_stopped()
+{
+    // A connection that is opened after `stop` has looked for one to close.
+    if (stop_.wait(absl::ZeroDuration()))
+        return;
+    http_->set_connection_timeout(std::chrono::microseconds(1));
+    http_->set_read_timeout(std::chrono::microseconds(1));
+}
+
+void client::stop()
+{
+    stop_.stop();
+    http_->stop();
+}
+
+read_result client::read(const std::string& path)
+{
+    if (!is_path(path))
+        return not_found{};
+    const auto result = repeat(call_type::read, get_call(object_target(path)));
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    const auto& answer = std::get<http_answer>(result);
+    if (answer.status == http_status::not_found)
+        return not_found{};
+    auto object = wire::parse_object(answer.body);
+    if (!object)
+        return unavailable{failure::bad_answer};
+    return std::move(*object);
+}
+
+list_result client::list(const std::string& prefix)
+{
+    if (!is_path(prefix))
+        return object_list{};
+    const auto result =
+        repeat(call_type::list, get_call("/list?prefix=" + prefix));
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    auto list = wire::parse_list(std::get<http_answer>(result).body);
+    if (!list)
+        return unavailable{failure::bad_answer};
+    return std::move(*list);
+}
+
+instances_result client::instances()
+{
+    const auto result = repeat(call_type::instances, get_call("/instances"));
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    auto list = wire::parse_instances(std::get<http_answer>(result).body);
+    if (!list)
+        return unavailable{failure::bad_answer};
+    return std::move(*list);
+}
+
+watch_result client::watch(const std::string& prefix, std::uint64_t from,
+                           absl::Duration limit)
+{
+    const std::string target =
+        core::concat("/watch?prefix=", prefix, "&from=", from,
+                     "&timeout_ms=", absl::ToInt64Milliseconds(limit));
+    const raw_result result = call(call_type::watch, [&] {
+        return get(target, limit + settings_.watch_grace);
+    });
+    if (const auto* unsent = std::get_if<not_sent>(&result))
+        return unavailable{unsent->cause};
+    if (std::holds_alternative<no_answer>(result))
+        return watch_silent{};
+    const auto& answer = std::get<http_answer>(result);
+    if (answer.status == http_status::gone)
+        return history_gone{};
+    if (!is_success(answer.status))
+        return refusal_of(answer);
+    auto changes = wire::parse_changes(answer.body);
+    if (!changes)
+        return unavailable{failure::bad_answer};
+    return std::move(*changes);
+}
+
+write_result client::put(const std::string& path, const std::string& value,
+                         const write_condition& condition)
+{
+    if (!is_path(path))
+        return rejected{"the path holds a character that is not allowed"};
+    const std::string id = next_write_id();
+    const auto body = wire::print_put(value, id, expected_version(condition));
+    if (!body)
+        return rejected{"the value is not a JSON object, or holds a key that "
+                        "is reserved"};
+    return write(
+        call_type::write,
+        {path, condition, id, put_call(object_target(path), *body, condition)});
+}
+
+write_result client::remove(const std::string& path,
+                            const write_condition& condition)
+{
+    if (!is_path(path))
+        return rejected{"the path holds a character that is not allowed"};
+    return write(
+        call_type::write,
+        {path, condition, "", remove_call(object_target(path), condition)});
+}
+
+write_result client::announce(const listed_instance& self)
+{
+    const std::string target = core::concat("/instances/", self.id.value());
+    const raw_call send =
+        put_call(target, wire::print_instance(self), always{});
+    const auto result = repeat(call_type::announce, send);
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    const auto version =
+        wire::parse_version(std::get<http_answer>(result).body);
+    return written{version.value_or(0)};
+}
+
+object_store client::as_object_store()
+{
+    object_store store;
+    store.read = [this](const auto& path) { return read(path); };
+    store.list = [this](const auto& prefix) { return list(prefix); };
+    store.put = [this](const auto& path, const auto& value,
+                       const auto& condition) {
+        return put(path, value, condition);
+    };
+    store.remove = [this](const auto& path, const auto& condition) {
+        return remove(path, condition);
+    };
+    store.watch = [this](const auto& prefix, std::uint64_t from,
+                         absl::Duration limit) {
+        return watch(prefix, from, limit);
+    };
+    store.instances = [this] { return instances(); };
+    store.announce = [this](const auto& self) { return announce(self); };
+    return store;
+}
+
+namespace {
+
+/// What the library's result tells, in our own terms.
+template <class Raw, class Answer, class NotSent, class NoAnswer>
+Raw to_raw(const httplib::Result& result)
+{
+    if (result)
+        return Answer{result->status, result->body, parse_retry_after(*result)};
+    const bool connected = result.error() != httplib::Error::Connection &&
+                           result.error() != httplib::Error::ConnectionTimeout;
+    if (!connected)
+        return NotSent{};
+    return NoAnswer{};
+}
+
+} // namespace
+
+client::raw_result client::get(const std::string& target,
+                               absl::Duration answer_limit)
+{
+    http_->set_read_timeout(absl::ToChronoMicroseconds(answer_limit));
+    return to_raw<raw_result, http_answer, not_sent, no_answer>(
+        http_->Get(target));
+}
+
+client::raw_call client::get_call(const std::string& target)
+{
+    return [this, target] { return get(target, settings_.answer_limit); };
+}
+
+client::raw_call client::put_call(const std::string& target,
+                                  const std::string& body,
+                                  const write_condition& condition)
+{
+    return [this, target, body, headers = condition_headers(condition)] {
+        http_->set_read_timeout(
+            absl::ToChronoMicroseconds(settings_.answer_limit));
+        return to_raw<raw_result, http_answer, not_sent, no_answer>(
+            http_->Put(target, headers, body, "application/json"));
+    };
+}
+
+client::raw_call client::remove_call(const std::string& target,
+                                     const write_condition& condition)
+{
+    return [this, target, headers = condition_headers(condition)] {
+        http_->set_read_timeout(
+            absl::ToChronoMicroseconds(settings_.answer_limit));
+        return to_raw<raw_result, http_answer, not_sent, no_answer>(
+            http_->Delete(target, headers));
+    };
+}
+
+client::raw_result client::call(call_type type, const raw_call& send)
+{
+    const absl::Duration wait = budget_.take(settings_.clock());
+    if (!stop_.wait(wait))
+        return not_sent{failure::stopped};
+    raw_result result = send();
+    call_noted noted{type, std::nullopt};
+    if (const auto* unsent = std::get_if<not_sent>(&result))
+        noted.failed = unsent->cause;
+    else if (std::holds_alternative<no_answer>(result))
+        noted.failed = failure::no_answer;
+    else
+        noted.failed = failure_of(std::get<http_answer>(result).status);
+    if (settings_.note)
+        settings_.note(noted);
+    return result;
+}
+
+std::variant<client::http_answer, unavailable>
+client::repeat(call_type type, const raw_call& send)
+{
+    unavailable last;
+    for (std::uint32_t attempt = 0; attempt < settings_.max_attempts;
+         ++attempt) {
+        if (attempt > 0 && !pause(attempt - 1, last.retry_after))
+            return unavailable{failure::stopped};
+        raw_result result = call(type, send);
+        if (const auto* unsent = std::get_if<not_sent>(&result)) {
+            last = unavailable{unsent->cause};
+            continue;
+        }
+        if (std::holds_alternative<no_answer>(result)) {
+            last = unavailable{failure::no_answer};
+            continue;
+        }
+        auto& answer = std::get<http_answer>(result);
+        if (is_success(answer.status) ||
+            answer.status == http_status::not_found)
+            return std::move(answer);
+        last = refusal_of(answer);
+    }
+    return last;
+}
+
+unavailable client::refusal_of(const http_answer& answer)
+{
+    return {failure_of(answer.status).value_or(failure::bad_answer),
+            answer.retry_after};
+}
+
+bool client::pause(std::uint32_t repeat, absl::Duration retry_after)
+{
+    const absl::Duration jittered =
+        backoff_delay(settings_.backoff, repeat, settings_.random);
+    const absl::Duration asked =
+        std::min(retry_after, settings_.longest_retry_after);
+    return stop_.wait(asked + jittered);
+}
+
+std::string client::next_write_id()
+{
+    return core::concat(settings_.writer_name, "-", next_write_++);
+}
+
+} // namespace oriolefall::platform
--- /dev/null
+++ b/oriolefall/platform/wire.cpp
@@ -0,0 +1,147 @@
+#include "oriolefall/platform/wire.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace oriolefall::platform::wire {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char* write_id_key = "write_id";
+constexpr const char* replaced_key = "replaced_version";
+
+/// `read` applied to the parsed body; nothing when either fails.
+template <class T>
+std::optional<T> decode(const std::string& body,
+                        const std::function<T(const json&)>& read)
+{
+    const json parsed = json::parse(body, nullptr, false);
+    if (parsed.is_discarded())
+        return std::nullopt;
+    try {
+        return read(parsed);
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+stored_object to_object(const json& from)
+{
+    stored_object object;
+    object.path = from.at("path").get<std::string>();
+    object.version = from.at("version").get<std::uint64_t>();
+    json value = from.at("value");
+    if (value.is_object()) {
+        object.write_id = value.value(write_id_key, std::string());
+        if (const auto found = value.find(replaced_key); found != value.end())
+            object.replaced_version = found->get<std::uint64_t>();
+        value.erase(write_id_key);
+        value.erase(replaced_key);
+    }
+    object.value = value.dump();
+    return object;
+}
+
+object_change to_change(const json& from)
+{
+    object_change change;
+    change.path = from.at("path").get<std::string>();
+    change.version = from.at("version").get<std::uint64_t>();
+    if (!from.at("value").is_null())
+        change.object = to_object(from);
+    return change;
+}
+
+listed_instance to_instance(const json& from)
+{
+    listed_instance instance;
+    instance.id = core::instance_id(from.at("id").get<std::string>());
+    instance.endpoint.address = from.at("address").get<std::string>();
+    instance.endpoint.port = from.at("port").get<std::uint16_t>();
+    instance.location.region =
+        core::region_name(from.at("region").get<std::string>());
+    instance.location.failure_domain =
+        core::failure_domain_name(from.at("failure_domain").get<std::string>());
+    instance.leaving = from.at("state").get<std::string>() == "leaving";
+    return instance;
+}
+
+template <class T>
+std::vector<T> to_list(const json& from, T (*read)(const json&))
+{
+    std::vector<T> list;
+    std::ranges::transform(from, std::back_inserter(list), read);
+    return list;
+}
+
+} // namespace
+
+std::optional<std::string>
+print_put(std::string_view value, const std::string& write_id,
+          std::optional<std::uint64_t> replaced_version)
+{
+    json parsed = json::parse(value, nullptr, false);
+    if (!parsed.is_object() || parsed.contains(write_id_key) ||
+        parsed.contains(replaced_key))
+        return std::nullopt;
+    parsed[write_id_key] = write_id;
+    if (replaced_version)
+        parsed[replaced_key] = *replaced_version;
+    json body;
+    body["value"] = std::move(parsed);
+    return body.dump();
+}
+
+std::optional<stored_object> parse_object(const std::string& body)
+{
+    return decode<stored_object>(body, to_object);
+}
+
+std::optional<object_list> parse_list(const std::string& body)
+{
+    return decode<object_list>(body, [](const json& from) {
+        return object_list{from.at("revision").get<std::uint64_t>(),
+                           to_list(from.at("objects"), to_object)};
+    });
+}
+
+std::optional<object_changes> parse_changes(const std::string& body)
+{
+    return decode<object_changes>(body, [](const json& from) {
+        return object_changes{from.at("revision").get<std::uint64_t>(),
+                              to_list(from.at("events"), to_change)};
+    });
+}
+
+std::optional<std::uint64_t> parse_version(const std::string& body)
+{
+    return decode<std::uint64_t>(body, [](const json& from) {
+        return from.at("version").get<std::uint64_t>();
+    });
+}
+
+std::optional<std::vector<listed_instance>>
+parse_instances(const std::string& body)
+{
+    return decode<std::vector<listed_instance>>(body, [](const json& from) {
+        return to_list(from.at("instances"), to_instance);
+    });
+}
+
+std::string print_instance(const listed_instance& instance)
+{
+    const json body{
+        {"id", instance.id.value()},
+        {"address", instance.endpoint.address},
+        {"port", instance.endpoint.port},
+        {"region", instance.location.region.value()},
+        {"failure_domain", instance.location.failure_domain.value()},
+        {"state", instance.leaving ? "leaving" : "live"}};
+    return body.dump();
+}
+
+} // namespace oriolefall::platform::wire
--- /dev/null
+++ b/oriolefall/platform/wire.hpp
@@ -0,0 +1,35 @@
+#ifndef ORIOLEFALL_PLATFORM_WIRE_HPP
+#define ORIOLEFALL_PLATFORM_WIRE_HPP
+
+#include "oriolefall/platform/object.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The platform's JSON, read and written. Nothing outside this package sees
+/// it. Any thread.
+namespace oriolefall::platform::wire {
+
+/// Body of a put. `value` must be the JSON text of an object without the
+/// keys that the client adds; nothing when it is not.
+[[nodiscard]] std::optional<std::string>
+print_put(std::string_view value, const std::string& write_id,
+          std::optional<std::uint64_t> replaced_version);
+
+[[nodiscard]] std::optional<stored_object>
+parse_object(const std::string& body);
+[[nodiscard]] std::optional<object_list> parse_list(const std::string& body);
+[[nodiscard]] std::optional<object_changes>
+parse_changes(const std::string& body);
+[[nodiscard]] std::optional<std::uint64_t>
+parse_version(const std::string& body);
+[[nodiscard]] std::optional<std::vector<listed_instance>>
+parse_instances(const std::string& body);
+[[nodiscard]] std::string print_instance(const listed_instance& instance);
+
+} // namespace oriolefall::platform::wire
+
+#endif
--- /dev/null
+++ b/tests/platform/platform_fixture.hpp
@@ -0,0 +1,56 @@
+#ifndef ORIOLEFALL_TESTS_PLATFORM_PLATFORM_FIXTURE_HPP
+#define ORIOLEFALL_TESTS_PLATFORM_PLATFORM_FIXTURE_HPP
+
+#include "oriolefall/core/concat.hpp"
+#include "oriolefall/platform/client.hpp"
+#include "stand_ins/platform_server.hpp"
+
+#include <httplib.h>
+
+#include <string>
+#include <vector>
+
+namespace oriolefall::tests {
+
+/// A platform stand-in on a free port and a client of it. The client's notes
+/// are gathered on the thread that makes the calls.
+class platform_fixture
+{
+public:
+    explicit platform_fixture(std::size_t history = 1000)
+        : server_(history, {.port = 0, .threads = 16})
+    {
+    }
+
+    [[nodiscard]] platform::client_settings settings()
+    {
+        platform::client_settings settings;
+        settings.endpoint = {"127.0.0.1", server_.port()};
+        settings.writer_name = core::concat("writer", ++clients_);
+        settings.backoff = {absl::Milliseconds(1), absl::Milliseconds(4)};
+        settings.longest_retry_after = absl::Milliseconds(5);
+        settings.calls_per_second = 100000;
+        settings.burst = 100000;
+        return settings;
+    }
+
+    void set_faults(const std::string& json)
+    {
+        httplib::Client http("127.0.0.1", server_.port());
+        http.Post("/faults", json, "application/json");
+    }
+
+    [[nodiscard]] std::string stats()
+    {
+        httplib::Client http("127.0.0.1", server_.port());
+        return http.Get("/stats")->body;
+    }
+
+private:
+    stand_ins::platform_server server_;
+    int clients_ = 0;
+};
+
+} // namespace oriolefall::tests
+
+#endif
