Add the inner protocol: HTTP/2 streams, MessagePack, one peer thread

Instances tell each other what may be lost: heartbeats, member news, settings offers and fetches, load hints and questions about idempotency keys. Messages are values; only this package sees their bytes.

A session is a state machine without a socket: prior-knowledge HTTP/2, one stream with length-led records both ways, a version agreed from two ranges, and a proof of the shared key by each end over both nonces. One thread drives all sessions with poll, joined to the rest by a bounded ring and a hook. Connections that go silent are found by time and replaced; of two between the same instances both ends keep the same one. Each refusal is a counter.

--- /dev/null
+++ b/oriolefall/peer/codec.cpp
@@ -0,0 +1,314 @@
+#include "oriolefall/peer/codec.hpp"
+
+#include "oriolefall/peer/field_reader.hpp"
+
+#include <msgpack.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+namespace oriolefall::peer {
+
+namespace {
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+/// Kinds of messages on the wire: the place in `message`.
+template <std::size_t Kind>
+using message_of = std::variant_alternative_t<Kind, message>;
+
+void put(packer& to, std::uint64_t value)
+{
+    to.pack(value);
+}
+
+void put(packer& to, const std::string& value)
+{
+    to.pack(value);
+}
+
+template <class Tag>
+void put(packer& to, const core::strong_id<Tag>& value)
+{
+    to.pack(value.value());
+}
+
+void put(packer& to, const core::endpoint& value);
+void put(packer& to, const membership::member& value);
+void put(packer& to, const team_version& value);
+void put(packer& to, const settings_object& value);
+void put(packer& to, const load_hint& value);
+
+template <class T>
+void put(packer& to, const std::vector<T>& values)
+{
+    to.pack_array(static_cast<std::uint32_t>(values.size()));
+    for (const T& value : values)
+        put(to, value);
+}
+
+template <class... Fields>
+void put_array(packer& to, const Fields&... fields)
+{
+    to.pack_array(sizeof...(fields));
+    (put(to, fields), ...);
+}
+
+void put(packer& to, const core::endpoint& value)
+{
+    put_array(to, value.address, std::uint64_t{value.port});
+}
+
+void put(packer& to, const membership::member& value)
+{
+    put_array(to, value.id, value.incarnation,
+              static_cast<std::uint64_t>(value.state), value.callers,
+              value.peers, value.location.region,
+              value.location.failure_domain);
+}
+
+void put(packer& to, const team_version& value)
+{
+    put_array(to, value.team, value.version);
+}
+
+void put(packer& to, const settings_object& value)
+{
+    put_array(to, value.path, value.version, value.value);
+}
+
+void put(packer& to, const load_hint& value)
+{
+    put_array(to, value.server, std::uint64_t{value.running},
+              std::uint64_t{value.queued},
+              static_cast<std::uint64_t>(absl::ToInt64Milliseconds(value.age)));
+}
+
+void put_message(packer& to, std::uint64_t kind,
+                 const membership::heartbeat& value)
+{
+    put_array(to, kind, value.incarnation, value.counter, value.settings_digest,
+              value.members_digest);
+}
+
+void put_message(packer& to, std::uint64_t kind, const member_news& value)
+{
+    put_array(to, kind, value.members);
+}
+
+void put_message(packer& to, std::uint64_t kind,
+                 const membership::member_buckets& value)
+{
+    const std::vector<std::uint64_t> digests(value.digests.begin(),
+                                             value.digests.end());
+    put_array(to, kind, digests);
+}
+
+void put_message(packer& to, std::uint64_t kind, const settings_offer& value)
+{
+    put_array(to, kind, value.teams);
+}
+
+void put_message(packer& to, std::uint64_t kind, const settings_fetch& value)
+{
+    put_array(to, kind, value.teams);
+}
+
+void put_message(packer& to, std::uint64_t kind, const settings_answer& value)
+{
+    put_array(to, kind, value.team, value.objects);
+}
+
+void put_message(packer& to, std::uint64_t kind, const load_hints& value)
+{
+    put_array(to, kind, value.servers);
+}
+
+void put_message(packer& to, std::uint64_t kind, const key_question& value)
+{
+    put_array(to, kind, value.question, value.workspace, value.key);
+}
+
+void put_message(packer& to, std::uint64_t kind, const key_answer& value)
+{
+    put_array(to, kind, value.question, static_cast<std::uint64_t>(value.state),
+              std::uint64_t{value.status}, value.body);
+}
+
+using detail::field_reader;
+
+template <class Tag>
+void get(field_reader& from, core::strong_id<Tag>& value)
+{
+    value = core::strong_id<Tag>(from.text());
+}
+
+void get(field_reader& from, std::uint64_t& value)
+{
+    value = from.number();
+}
+
+void get(field_reader& from, core::endpoint& value)
+{
+    field_reader fields = from.array();
+    value.address = fields.text();
+    value.port = fields.number_as<std::uint16_t>();
+}
+
+void get(field_reader& from, membership::member& value)
+{
+    field_reader fields = from.array();
+    get(fields, value.id);
+    value.incarnation = fields.number();
+    value.state = fields.enumerator<membership::member_state>(
+        membership::member_state::dead);
+    get(fields, value.callers);
+    get(fields, value.peers);
+    get(fields, value.location.region);
+    get(fields, value.location.failure_domain);
+}
+
+void get(field_reader& from, team_version& value)
+{
+    field_reader fields = from.array();
+    get(fields, value.team);
+    value.version = fields.number();
+}
+
+void get(field_reader& from, settings_object& value)
+{
+    field_reader fields = from.array();
+    value.path = fields.text();
+    value.version = fields.number();
+    value.value = fields.text();
+}
+
+void get(field_reader& from, load_hint& value)
+{
+    field_reader fields = from.array();
+    get(fields, value.server);
+    value.running = fields.number_as<std::uint32_t>();
+    value.queued = fields.number_as<std::uint32_t>();
+    value.age = absl::Milliseconds(fields.number_as<std::uint32_t>());
+}
+
+template <class T>
+void get(field_reader& from, std::vector<T>& values)
+{
+    field_reader fields = from.array();
+    values.resize(fields.size());
+    for (T& value : values)
+        get(fields, value);
+}
+
+void get_message(field_reader& from, membership::heartbeat& value)
+{
+    value.incarnation = from.number();
+    value.counter = from.number();
+    value.settings_digest = from.number();
+    value.members_digest = from.number();
+}
+
+void get_message(field_reader& from, member_news& value)
+{
+    get(from, value.members);
+}
+
+void get_message(field_reader& from, membership::member_buckets& value)
+{
+    std::vector<std::uint64_t> digests;
+    get(from, digests);
+    from.require(digests.size() == value.digests.size());
+    std::ranges::copy(digests, value.digests.begin());
+}
+
+void get_message(field_reader& from, settings_offer& value)
+{
+    get(from, value.teams);
+}
+
+void get_message(field_reader& from, settings_fetch& value)
+{
+    get(from, value.teams);
+}
+
+void get_message(field_reader& from, settings_answer& value)
+{
+    get(from, value.team);
+    get(from, value.objects);
+}
+
+void get_message(field_reader& from, load_hints& value)
+{
+    get(from, value.servers);
+}
+
+void get_message(field_reader& from, key_question& value)
+{
+    value.question = from.number();
+    get(from, value.workspace);
+    get(from, value.key);
+}
+
+void get_message(field_reader& from, key_answer& value)
+{
+    value.question = from.number();
+    value.state = from.enumerator<key_state>(key_state::may_have_run);
+    value.status = from.number_as<std::uint32_t>();
+    value.body = from.text();
+}
+
+template <std::size_t Kind>
+message get_kind(field_reader& from)
+{
+    message_of<Kind> value;
+    get_message(from, value);
+    return value;
+}
+
+/// Reads the fields of the message of this kind; nothing for an unknown one.
+template <std::size_t... Kinds>
+std::optional<message> get_any(field_reader& from, std::uint64_t kind,
+                               std::index_sequence<Kinds...>)
+{
+    using reader = message (*)(field_reader&);
+    constexpr std::array<reader, sizeof...(Kinds)> readers{&get_kind<Kinds>...};
+    if (kind >= readers.size())
+        return std::nullopt;
+    return readers[kind](from);
+}
+
+} // namespace
+
+std::string encode(const message& value)
+{
+    msgpack::sbuffer bytes;
+    packer to(bytes);
+    const auto kind = static_cast<std::uint64_t>(value.index());
+    std::visit([&](const auto& one) { put_message(to, kind, one); }, value);
+    return {bytes.data(), bytes.size()};
+}
+
+std::variant<message, refusal> decode(std::string_view bytes)
+{
+    try {
+        const msgpack::object_handle handle = detail::unpack_bounded(bytes);
+        field_reader fields(handle.get());
+        const std::uint64_t kind = fields.number();
+        const auto kinds =
+            std::make_index_sequence<std::variant_size_v<message>>{};
+        std::optional<message> value = get_any(fields, kind, kinds);
+        if (!value)
+            return refusal::unknown_message;
+        return *std::move(value);
+    } catch (const msgpack::unpack_error&) {
+        return refusal::malformed;
+    } catch (const msgpack::type_error&) {
+        return refusal::malformed;
+    }
+}
+
+} // namespace oriolefall::peer
--- /dev/null
+++ b/oriolefall/peer/link_command.hpp
@@ -0,0 +1,43 @@
+#ifndef ORIOLEFALL_PEER_LINK_COMMAND_HPP
+#define ORIOLEFALL_PEER_LINK_COMMAND_HPP
+
+#include "oriolefall/core/backend_server.hpp"
+#include "oriolefall/core/bounded_ring.hpp"
+#include "oriolefall/core/ids.hpp"
+#include "oriolefall/peer/message.hpp"
+
+#include <compare>
+#include <variant>
+#include <vector>
+
+namespace oriolefall::peer {
+
+/// An instance and where it listens for others.
+struct peer_address
+{
+    core::instance_id instance;
+    core::endpoint endpoint;
+    auto operator<=>(const peer_address&) const = default;
+};
+
+/// A message to one instance.
+struct outgoing
+{
+    core::instance_id to;
+    peer::message message;
+    std::strong_ordering operator<=>(const outgoing&) const = default;
+};
+
+/// The whole set of instances to keep a connection to.
+struct wanted_peers
+{
+    std::vector<peer_address> peers;
+    auto operator<=>(const wanted_peers&) const = default;
+};
+
+using link_command = std::variant<outgoing, wanted_peers>;
+using link_ring = core::bounded_ring<link_command>;
+
+} // namespace oriolefall::peer
+
+#endif
--- /dev/null
+++ b/oriolefall/peer/link_counters.hpp
@@ -0,0 +1,53 @@
+#ifndef ORIOLEFALL_PEER_LINK_COUNTERS_HPP
+#define ORIOLEFALL_PEER_LINK_COUNTERS_HPP
+
+#include "oriolefall/peer/refusal.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace oriolefall::peer {
+
+/// What a link has done so far.
+struct link_counts
+{
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t messages_received = 0;
+    std::uint64_t connections_opened = 0;
+    std::array<std::uint64_t, refusal_count> refused{};
+    auto operator<=>(const link_counts&) const = default;
+
+    [[nodiscard]] std::uint64_t of(refusal why) const
+    {
+        return refused.at(static_cast<std::size_t>(why));
+    }
+};
+
+/// Counts on the peer thread, read by any thread.
+class link_counters
+{
+public:
+    void sent(std::size_t bytes);
+    void received(std::size_t bytes);
+    void message_sent();
+    void message_received();
+    void opened();
+    void refused(refusal why);
+    [[nodiscard]] link_counts snapshot() const;
+
+private:
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
+    std::atomic<std::uint64_t> messages_sent_{0};
+    std::atomic<std::uint64_t> messages_received_{0};
+    std::atomic<std::uint64_t> connections_opened_{0};
+    std::array<std::atomic<std::uint64_t>, refusal_count> refused_{};
+};
+
+} // namespace oriolefall::peer
+
+#endif
--- /dev/null
+++ b/oriolefall/peer/message.hpp
@@ -0,0 +1,121 @@
+#ifndef ORIOLEFALL_PEER_MESSAGE_HPP
+#define ORIOLEFALL_PEER_MESSAGE_HPP
+
+#include "oriolefall/core/ids.hpp"
+#include "oriolefall/membership/event.hpp"
+#include "oriolefall/membership/member.hpp"
+
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oriolefall::peer {
+
+/// Members whose incarnation or state has changed; the leaving mark is one.
+struct member_news
+{
+    std::vector<membership::member> members;
+    auto operator<=>(const member_news&) const = default;
+};
+
+/// The version of one team's subtree of the settings.
+struct team_version
+{
+    core::team_name team;
+    std::uint64_t version = 0;
+    auto operator<=>(const team_version&) const = default;
+};
+
+/// Subtrees that the sender has in force: those that changed, or all.
+struct settings_offer
+{
+    std::vector<team_version> teams;
+    auto operator<=>(const settings_offer&) const = default;
+};
+
+/// Asks for whole subtrees.
+struct settings_fetch
+{
+    std::vector<core::team_name> teams;
+    auto operator<=>(const settings_fetch&) const = default;
+};
+
+/// One settings object as the platform holds it.
+struct settings_object
+{
+    /// Such as "/teams/entries/classes".
+    std::string path;
+    std::uint64_t version = 0;
+    /// JSON text.
+    std::string value;
+    auto operator<=>(const settings_object&) const = default;
+};
+
+/// One whole subtree; answers `settings_fetch`.
+struct settings_answer
+{
+    team_version team;
+    std::vector<settings_object> objects;
+    auto operator<=>(const settings_answer&) const = default;
+};
+
+/// Load of one backend server as the sender saw it.
+struct load_hint
+{
+    core::backend_server_id server;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    /// How old the figures were when they were sent.
+    absl::Duration age = absl::ZeroDuration();
+    std::strong_ordering operator<=>(const load_hint&) const = default;
+};
+
+struct load_hints
+{
+    std::vector<load_hint> servers;
+    std::strong_ordering operator<=>(const load_hints&) const = default;
+};
+
+/// Asks the issuer of an idempotency key what became of it.
+struct key_question
+{
+    /// Chosen by the asker; the answer carries it.
+    std::uint64_t question = 0;
+    core::workspace_id workspace;
+    core::idempotency_key key;
+    auto operator<=>(const key_question&) const = default;
+};
+
+/// What the issuer knows of an idempotency key.
+enum class key_state : std::uint8_t
+{
+    unknown,     ///< not issued by this incarnation: it may have run
+    not_run,     ///< it has not run, and will not any more
+    in_progress, ///< it is running
+    ran,         ///< it ran, with the answer below
+    may_have_run ///< it was sent, and its outcome is not known
+};
+
+struct key_answer
+{
+    std::uint64_t question = 0;
+    key_state state = key_state::unknown;
+    /// HTTP status and body of the answer; for `ran` only.
+    std::uint32_t status = 0;
+    std::string body;
+    auto operator<=>(const key_answer&) const = default;
+};
+
+/// Everything that instances tell each other. All of it may be lost.
+using message =
+    std::variant<membership::heartbeat, member_news, membership::member_buckets,
+                 settings_offer, settings_fetch, settings_answer, load_hints,
+                 key_question, key_answer>;
+
+} // namespace oriolefall::peer
+
+#endif
--- /dev/null
+++ b/oriolefall/peer/proof.hpp
@@ -0,0 +1,56 @@
+#ifndef ORIOLEFALL_PEER_PROOF_HPP
+#define ORIOLEFALL_PEER_PROOF_HPP
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace oriolefall::peer {
+
+/// Versions of the inner protocol that a release speaks.
+struct version_range
+{
+    std::uint32_t lowest = 1;
+    std::uint32_t highest = 1;
+    auto operator<=>(const version_range&) const = default;
+};
+
+/// The highest version that both speak, if there is one.
+[[nodiscard]] std::optional<std::uint32_t>
+common_version(const version_range& one, const version_range& two);
+
+/// What one end of a connection says of itself in the handshake.
+struct introduction
+{
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    version_range versions;
+    /// Fresh for each connection, in hexadecimal.
+    std::string nonce;
+    auto operator<=>(const introduction&) const = default;
+};
+
+enum class proof_role : std::uint8_t
+{
+    dialer,
+    acceptor
+};
+
+/// HMAC-SHA-256 in hexadecimal, under the key that all instances share, of
+/// all that was said in the handshake: it proves the key, binds both nonces
+/// (no replay) and both version ranges (no downgrade). Any thread.
+[[nodiscard]] std::string make_proof(std::string_view key, proof_role role,
+                                     const introduction& dialer,
+                                     const introduction& acceptor);
+
+/// Compares in constant time.
+[[nodiscard]] bool same_proof(std::string_view one, std::string_view two);
+
+/// 128 random bits in hexadecimal.
+[[nodiscard]] std::string make_nonce();
+
+} // namespace oriolefall::peer
+
+#endif
--- /dev/null
+++ b/tests/peer/any_message.cpp
@@ -0,0 +1,118 @@
+#include "any_message.hpp"
+
+#include <functional>
+#include <rapidcheck.h>
+
+namespace oriolefall::tests {
+
+using namespace peer;
+
+namespace {
+
+template <class T = std::uint64_t>
+T any()
+{
+    return *rc::gen::arbitrary<T>();
+}
+
+template <class Id>
+Id any_id()
+{
+    return Id(any<std::string>());
+}
+
+template <class T>
+std::vector<T> some(const std::function<T()>& one)
+{
+    std::vector<T> values;
+    const auto count = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < count; ++i)
+        values.push_back(one());
+    return values;
+}
+
+membership::member any_member()
+{
+    membership::member value;
+    value.id = any_id<core::instance_id>();
+    value.incarnation = any();
+    value.state = *rc::gen::elementOf(std::vector<membership::member_state>(
+        membership::all_member_states.begin(),
+        membership::all_member_states.end()));
+    value.callers = {any<std::string>(), any<std::uint16_t>()};
+    value.peers = {any<std::string>(), any<std::uint16_t>()};
+    value.location = {any_id<core::region_name>(),
+                      any_id<core::failure_domain_name>()};
+    return value;
+}
+
+team_version any_team()
+{
+    return {any_id<core::team_name>(), any()};
+}
+
+settings_object any_object()
+{
+    return {any<std::string>(), any(), any<std::string>()};
+}
+
+load_hint any_load()
+{
+    return {any_id<core::backend_server_id>(), any<std::uint32_t>(),
+            any<std::uint32_t>(), absl::Milliseconds(any<std::uint32_t>())};
+}
+
+message any_settings_message(int kind)
+{
+    switch (kind) {
+    case 0:
+        return settings_offer{some<team_version>(any_team)};
+    case 1:
+        return settings_fetch{some<core::team_name>(any_id<core::team_name>)};
+    default:
+        return settings_answer{any_team(), some<settings_object>(any_object)};
+    }
+}
+
+message any_key_message(int kind)
+{
+    if (kind == 0)
+        return key_question{any(), any_id<core::workspace_id>(),
+                            any_id<core::idempotency_key>()};
+    return key_answer{any(),
+                      *rc::gen::element(key_state::unknown, key_state::not_run,
+                                        key_state::in_progress, key_state::ran,
+                                        key_state::may_have_run),
+                      any<std::uint32_t>(), any<std::string>()};
+}
+
+message any_membership_message(int kind)
+{
+    switch (kind) {
+    case 0:
+        return membership::heartbeat{any(), any(), any(), any()};
+    case 1:
+        return member_news{some<membership::member>(any_member)};
+    default:
+        membership::member_buckets buckets;
+        for (std::uint64_t& digest : buckets.digests)
+            digest = any();
+        return buckets;
+    }
+}
+
+} // namespace
+
+message any_message()
+{
+    const int kind = *rc::gen::inRange(0, 9);
+    if (kind < 3)
+        return any_membership_message(kind);
+    if (kind < 6)
+        return any_settings_message(kind - 3);
+    if (kind < 8)
+        return any_key_message(kind - 6);
+    return load_hints{some<load_hint>(any_load)};
+}
+
+} // namespace oriolefall::tests
