--- a/oriolefall/backend/call_control.cpp
+++ b/oriolefall/backend/call_control.cpp
@@ -6,18 +6,21 @@
 
 void call_control::cancel()
 {
-    const std::lock_guard lock(mutex_);
     cancelled_ = true;
-    if (connection_)
-        connection_->stop();
 }
 
 bool call_control::cancelled() const
 {
-    const std::lock_guard lock(mutex_);
     return cancelled_;
 }
 
+void call_control::stop()
+{
+    const std::lock_guard lock(mutex_);
+    if (connection_)
+        connection_->stop();
+}
+
 bool call_control::attach(connection_ptr connection)
 {
     const std::lock_guard lock(mutex_);
--- a/oriolefall/backend/call_control.hpp
+++ b/oriolefall/backend/call_control.hpp
@@ -3,6 +3,7 @@
 
 #include "oriolefall/backend/connection_cache.hpp"
 
+#include <atomic>
 #include <mutex>
 
 namespace oriolefall::backend {
@@ -11,9 +12,13 @@
 class call_control
 {
 public:
-    /// Stops the call now, or as soon as a lane takes it.
+    /// The call is to stop at its next byte, or when a lane takes it. Never
+    /// blocks.
     void cancel();
     [[nodiscard]] bool cancelled() const;
+    /// Closes the connection of a cancelled call. May block while the
+    /// connection is being made.
+    void stop();
 
     /// Tells which connection the call uses. False when it was cancelled
     /// before; the call must then not be made.
@@ -22,9 +27,9 @@
     void detach();
 
 private:
-    mutable std::mutex mutex_;
+    std::atomic<bool> cancelled_ = false;
+    std::mutex mutex_;
     connection_ptr connection_;
-    bool cancelled_ = false;
 };
 
 } // namespace oriolefall::backend
--- a/oriolefall/backend/lane_pool.cpp
+++ b/oriolefall/backend/lane_pool.cpp
@@ -6,9 +6,11 @@
 
 lane_pool::lane_pool(const lane_settings& settings, lane_hooks hooks)
     : settings_(settings), hooks_(std::move(hooks)), connections_(settings_),
-      work_(settings.waiting_calls)
+      work_(settings.waiting_calls), cancelled_(settings.waiting_calls)
 {
-    threads_.reserve(settings_.lanes);
+    threads_.reserve(settings_.lanes + 1);
+    threads_.emplace_back(
+        "canceller", [this] { run_canceller(); }, core::small_stack_bytes);
     for (std::size_t i = 0; i < settings_.lanes; ++i)
         threads_.emplace_back(
             "lane", [this] { run_lane(); }, core::small_stack_bytes);
@@ -17,6 +19,7 @@
 lane_pool::~lane_pool()
 {
     work_.close();
+    cancelled_.close();
     cancel_all();
     threads_.clear();
 }
@@ -38,8 +41,11 @@
 void lane_pool::cancel(core::call_id call)
 {
     const std::shared_ptr<call_control> control = find(call);
-    if (control)
-        control->cancel();
+    if (!control)
+        return;
+    control->cancel();
+    // With no room the lane still sees the mark at its next byte.
+    cancelled_.try_push(control);
 }
 
 void lane_pool::run_lane()
@@ -48,6 +54,12 @@
         run_call(*work);
 }
 
+void lane_pool::run_canceller()
+{
+    while (const auto control = cancelled_.pop())
+        (*control)->stop();
+}
+
 void lane_pool::run_call(const lane_work& work)
 {
     call_runner runner(settings_, hooks_, connections_, *work.control,
@@ -79,8 +91,10 @@
         for (const auto& [call, control] : controls_)
             running.push_back(control);
     }
-    for (const auto& control : running)
+    for (const auto& control : running) {
         control->cancel();
+        control->stop();
+    }
 }
 
 } // namespace oriolefall::backend
--- a/oriolefall/backend/lane_pool.hpp
+++ b/oriolefall/backend/lane_pool.hpp
@@ -31,8 +31,8 @@
     /// `ended` is then not called.
     bool try_start(call_order order);
 
-    /// Stops a call, waiting or running. Its `ended` is still called. Blocks
-    /// no longer than closing a socket takes.
+    /// Stops a call, waiting or running. Its `ended` is still called. Never
+    /// blocks: a thread of its own closes the connection.
     void cancel(core::call_id call);
 
 private:
@@ -43,6 +43,7 @@
     };
 
     void run_lane();
+    void run_canceller();
     void run_call(const lane_work& work);
     std::shared_ptr<call_control> find(core::call_id call);
     void forget(core::call_id call);
@@ -54,6 +55,7 @@
     core::bounded_ring<lane_work> work_;
     std::mutex mutex_;
     absl::flat_hash_map<core::call_id, std::shared_ptr<call_control>> controls_;
+    core::bounded_ring<std::shared_ptr<call_control>> cancelled_;
     std::vector<core::duty_thread> threads_;
 };
 
--- a/oriolefall/decision/action.hpp
+++ b/oriolefall/decision/action.hpp
@@ -10,6 +10,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string_view>
 #include <variant>
 
 namespace oriolefall::decision {
@@ -77,6 +78,11 @@
     cancelled
 };
 
+/// The name used in logs, metrics and explanations.
+[[nodiscard]] std::string_view to_string(step_kind kind);
+/// True when `decision_noted::cause` has a meaning for this kind.
+[[nodiscard]] bool has_cause(step_kind kind);
+
 struct decision_noted
 {
     core::request_id request;
