Mend what the linter found in the recorder and the decider's thread

Cause: a forwarding reference was moved; a summary's loop narrowed an index.

Change: plain references; the lines of a summary in a function of its own.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,5 +1,5 @@
 # Flags that every target of the project is built with.
-# GCC 12 takes moved variants for uninitialised ones (GCC bug 105562 and kin).
+# GCC 12 wrongly takes parts of a moved variant for uninitialised.
 add_library(oriolefall_flags INTERFACE)
 target_compile_options(oriolefall_flags INTERFACE -Wall -Wextra -Werror
   -Wno-maybe-uninitialized)
--- a/oriolefall/daemon/decider_thread.cpp
+++ b/oriolefall/daemon/decider_thread.cpp
@@ -72,8 +72,7 @@
     while (ring_.pop_some(batch, batch_size,
                           core::to_steady(decider_.next_tick()))) {
         for (inbound& one : batch)
-            std::visit([this](auto&& some) { take(std::move(some)); },
-                       std::move(one));
+            std::visit([this](auto& some) { take(std::move(some)); }, one);
         batch.clear();
         if (core::monotonic_now() >= decider_.next_tick())
             take(decision::event(decision::tick{}));
--- a/oriolefall/observe/metrics_registry.cpp
+++ b/oriolefall/observe/metrics_registry.cpp
@@ -30,6 +30,20 @@
                         label("tier", core::to_string(end.tier)));
 }
 
+/// Adds the lines of one summary: its quantiles, sum and count.
+template <class Set>
+void append_summary(std::string& page, const std::string& name,
+                    const std::string& labels, const Set& set)
+{
+    auto value = acc::extended_p_square(set).begin();
+    for (const double quantile : quantiles)
+        absl::StrAppend(&page, name, "{", labels, ",quantile=\"", quantile,
+                        "\"} ", *value++, "\n");
+    absl::StrAppend(&page, name, "_sum{", labels, "} ", acc::sum(set), "\n");
+    absl::StrAppend(&page, name, "_count{", labels, "} ", acc::count(set),
+                    "\n");
+}
+
 } // namespace
 
 metrics_registry::metrics_registry()
@@ -111,16 +125,8 @@
     }
     for (const auto& [name, sets] : latencies_) {
         absl::StrAppend(&page, "# TYPE ", name, " summary\n");
-        for (const auto& [labels, set] : sets) {
-            for (std::size_t i = 0; i < quantiles.size(); ++i)
-                absl::StrAppend(&page, name, "{", labels, ",quantile=\"",
-                                quantiles[i], "\"} ",
-                                acc::extended_p_square(set)[i], "\n");
-            absl::StrAppend(&page, name, "_sum{", labels, "} ", acc::sum(set),
-                            "\n");
-            absl::StrAppend(&page, name, "_count{", labels, "} ",
-                            acc::count(set), "\n");
-        }
+        for (const auto& [labels, set] : sets)
+            append_summary(page, name, labels, set);
     }
     return page;
 }
