Wire one entry instance: decider's thread, recorder, lanes, front

Cause: the thin path needs the packages joined: a thread for each duty, rings between them, all decision state owned by one thread.

--- /dev/null
+++ b/oriolefall/daemon/instance.cpp
@@ -0,0 +1,196 @@
+#include "oriolefall/daemon/instance.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace oriolefall::daemon {
+
+namespace {
+
+decision::routing_table_ptr first_table(const instance_options& options)
+{
+    if (!options.deployment)
+        return std::make_shared<const decision::routing_table>();
+    return std::make_shared<const decision::routing_table>(
+        settings::make_routing_table(*options.deployment, 1));
+}
+
+decider_thread_settings decider_settings(const instance_options& options)
+{
+    return {.decider = {.location = options.settings.location,
+                        .seed = options.settings.decider_seed}};
+}
+
+front::front_settings front_settings(const settings::instance_settings& from)
+{
+    return {.listen = from.listen,
+            .max_connections = from.front.max_connections,
+            .max_header_bytes = from.front.max_header_bytes,
+            .max_body_bytes = from.front.max_body_bytes,
+            .answer_ring_capacity = from.front.answer_ring_capacity,
+            .caller_check_interval = from.front.caller_check_interval};
+}
+
+backend::lane_settings lane_settings(const settings::instance_settings& from)
+{
+    return {.lanes = from.backend_lanes, .waiting_calls = from.backend_lanes};
+}
+
+} // namespace
+
+instance::instance(const instance_options& options)
+    : options_(options), table_(first_table(options)),
+      recorder_(observe::recorder_settings{}),
+      decider_(decider_settings(options), table_.get())
+{
+}
+
+instance::~instance()
+{
+    if (front_)
+        front_->stop();
+    // The decider stops first: it starts calls, which the lanes then end.
+    decider_.stop();
+    lanes_.reset();
+}
+
+bool instance::start()
+{
+    lanes_ = std::make_unique<backend::lane_pool>(
+        lane_settings(options_.settings), make_lane_hooks());
+    decider_.start(make_actions());
+    front_ = std::make_unique<front::server>(front_settings(options_.settings),
+                                             make_handlers());
+    return front_->start();
+}
+
+std::uint16_t instance::port() const
+{
+    return front_->port();
+}
+
+void instance::leave()
+{
+    leaving_ = true;
+}
+
+void instance::refuse_new_requests()
+{
+    decider_.tell(decision::shutdown_requested{});
+}
+
+std::size_t instance::open_requests() const
+{
+    return decider_.open_requests();
+}
+
+void instance::log(observe::log_level level, std::string message)
+{
+    recorder_.tell(observe::log_note{level, "instance", std::move(message)});
+}
+
+front::handlers instance::make_handlers()
+{
+    return {
+        .next_request_id = [this] { return request_ids_.next(); },
+        .submit =
+            [this](front::submission submission) {
+                return decider_.submit(std::move(submission));
+            },
+        .caller_gone =
+            [this](core::request_id id) {
+                decider_.tell(decision::caller_gone{id});
+            },
+        .find_class =
+            [this](const core::class_name& name) { return find_class(name); },
+        .models = [this] { return models(); },
+        .entry = [this](const core::workspace_id& id) { return entry(id); },
+        .refused =
+            [this](core::reason cause) {
+                recorder_.tell(observe::early_refusal{cause});
+            },
+        .metrics = [this] { return recorder_.metrics(); },
+        .ready = [this] { return !leaving_; },
+        .explain =
+            [this](core::request_id id) { return recorder_.explain(id); },
+        .status = [this] { return status(); }};
+}
+
+action_hooks instance::make_actions()
+{
+    return {
+        .start_call =
+            [this](backend::call_order order) {
+                return lanes_->try_start(std::move(order));
+            },
+        .cancel_call = [this](core::call_id id) { lanes_->cancel(id); },
+        .claim_key = [](const decision::claim_key&) { return false; },
+        .record_outcome = [](const decision::record_outcome&) {},
+        .tell =
+            [this](observe::record what) { recorder_.tell(std::move(what)); }};
+}
+
+backend::lane_hooks instance::make_lane_hooks()
+{
+    return {.progressed =
+                [this](const decision::call_progressed& event) {
+                    decider_.hint(event);
+                },
+            .load_reported =
+                [this](const decision::load_reported& event) {
+                    decider_.hint(event);
+                }};
+}
+
+std::vector<core::model_name> instance::models() const
+{
+    const auto table = table_.get();
+    std::vector<core::model_name> names;
+    for (const core::backend_server& server : table->servers) {
+        if (server.kind != core::call_kind::generate)
+            continue;
+        std::ranges::transform(
+            server.serves, std::back_inserter(names),
+            [](const std::string& name) { return core::model_name(name); });
+    }
+    std::ranges::sort(names);
+    const auto repeated = std::ranges::unique(names);
+    names.erase(repeated.begin(), repeated.end());
+    return names;
+}
+
+std::optional<core::service_class>
+instance::find_class(const core::class_name& name) const
+{
+    const auto table = table_.get();
+    const auto found =
+        std::ranges::find(table->classes, name, &core::service_class::name);
+    if (found == table->classes.end())
+        return std::nullopt;
+    return *found;
+}
+
+front::entry_answer instance::entry(const core::workspace_id&) const
+{
+    return {.endpoints = {{options_.settings.listen.address, port()}},
+            .lifetime = options_.settings.address_lifetime};
+}
+
+std::string instance::status() const
+{
+    const auto table = table_.get();
+    const nlohmann::json text{
+        {"instance", options_.settings.instance.value()},
+        {"region", options_.settings.location.region.value()},
+        {"failure_domain", options_.settings.location.failure_domain.value()},
+        {"state", leaving_ ? "leaving" : "live"},
+        {"settings_version", table->version},
+        {"backend_servers", table->servers.size()},
+        {"open_requests", open_requests()}};
+    return text.dump();
+}
+
+} // namespace oriolefall::daemon
--- /dev/null
+++ b/oriolefall/daemon/instance.hpp
@@ -0,0 +1,70 @@
+#ifndef ORIOLEFALL_DAEMON_INSTANCE_HPP
+#define ORIOLEFALL_DAEMON_INSTANCE_HPP
+
+#include "oriolefall/backend/lane_pool.hpp"
+#include "oriolefall/core/latest_value.hpp"
+#include "oriolefall/daemon/decider_thread.hpp"
+#include "oriolefall/daemon/instance_options.hpp"
+#include "oriolefall/daemon/request_ids.hpp"
+#include "oriolefall/front/server.hpp"
+#include "oriolefall/observe/recorder.hpp"
+
+#include <absl/time/time.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace oriolefall::daemon {
+
+/// One entry instance: its threads and the rings between them. Made, started
+/// and stopped by one thread.
+class instance
+{
+public:
+    explicit instance(const instance_options& options);
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+    ~instance();
+
+    /// Starts all threads. False when an address cannot be bound.
+    [[nodiscard]] bool start();
+    /// The port that callers connect to.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// Announces that this instance leaves: it is no longer named to callers,
+    /// and goes on answering.
+    void leave();
+    /// Refuses new requests from now on.
+    void refuse_new_requests();
+    /// Requests that have not ended. Any thread.
+    [[nodiscard]] std::size_t open_requests() const;
+
+    /// Writes a line to the log. Any thread.
+    void log(observe::log_level level, std::string message);
+
+private:
+    [[nodiscard]] front::handlers make_handlers();
+    [[nodiscard]] action_hooks make_actions();
+    [[nodiscard]] backend::lane_hooks make_lane_hooks();
+    [[nodiscard]] std::vector<core::model_name> models() const;
+    [[nodiscard]] std::optional<core::service_class>
+    find_class(const core::class_name& name) const;
+    [[nodiscard]] front::entry_answer
+    entry(const core::workspace_id& workspace) const;
+    [[nodiscard]] std::string status() const;
+
+    instance_options options_;
+    request_ids request_ids_;
+    core::latest_value<decision::routing_table> table_;
+    std::atomic<bool> leaving_ = false;
+    observe::recorder recorder_;
+    decider_thread decider_;
+    std::unique_ptr<backend::lane_pool> lanes_;
+    std::unique_ptr<front::server> front_;
+};
+
+} // namespace oriolefall::daemon
+
+#endif
