Let a load tool tell an answer's length to the engine alone

The length went in max_tokens, which the router reads too, though it must not know it. The stand-ins' owner threads are duty threads of core, and stats count tokens by priority, so that waste can be told by tier.

--- a/stand_ins/engine_batch.cpp
+++ b/stand_ins/engine_batch.cpp
@@ -148,6 +148,8 @@
         answer.sink(stream_token{answer.next_index++});
         ++answer.computed;
         ++stats_.tokens_computed;
+        ++stats_.tokens_by_priority.at(
+            static_cast<std::size_t>(answer.order.priority));
     }
     if (answer.next_index < answer.order.length)
         return true;
--- a/stand_ins/engine_codec.cpp
+++ b/stand_ins/engine_codec.cpp
@@ -40,6 +40,15 @@
             {"finish_reason", limited ? "length" : "stop"}};
 }
 
+/// The length that a test gives the answer; nothing when it has none.
+std::optional<std::uint32_t> wanted_length(const json& body)
+{
+    const auto metadata = body.find("metadata");
+    if (metadata == body.end() || !metadata->contains("output_tokens"))
+        return std::nullopt;
+    return metadata->at("output_tokens").get<std::uint32_t>();
+}
+
 generation_request decode_generation(const httplib::Request& http,
                                      const json& body)
 {
@@ -49,9 +58,8 @@
     generation_request request;
     request.seed = answer_seed(prompt);
     request.stream = body.value("stream", false);
-    const bool ignore_eos = body.value("ignore_eos", false);
     const std::uint32_t natural =
-        ignore_eos ? limit : natural_length(request.seed);
+        wanted_length(body).value_or(natural_length(request.seed));
     request.limited = natural >= limit;
     generation_order& order = request.order;
     order.model = body.at("model").get<std::string>();
@@ -180,6 +188,7 @@
               {"broken", stats.broken},
               {"tokens_computed", stats.tokens_computed},
               {"tokens_wasted", stats.tokens_wasted},
+              {"tokens_by_priority", stats.tokens_by_priority},
               {"prefill_tokens_computed", stats.prefill_tokens_computed},
               {"prefill_tokens_cached", stats.prefill_tokens_cached},
               {"running", stats.running},
--- a/stand_ins/engine_scheduler.cpp
+++ b/stand_ins/engine_scheduler.cpp
@@ -16,7 +16,7 @@
 engine_scheduler::engine_scheduler(const engine_settings& settings)
     : batch_(settings), models_(settings.models, settings.model_load_time,
                                 settings.checks_fencing),
-      commands_(command_capacity), thread_([this] { run(); })
+      commands_(command_capacity), thread_("scheduler", [this] { run(); })
 {
 }
 
--- a/stand_ins/engine_scheduler.hpp
+++ b/stand_ins/engine_scheduler.hpp
@@ -2,11 +2,11 @@
 #define ORIOLEFALL_STAND_INS_ENGINE_SCHEDULER_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
+#include "oriolefall/core/duty_thread.hpp"
 #include "stand_ins/engine_batch.hpp"
 #include "stand_ins/engine_models.hpp"
 
 #include <optional>
-#include <thread>
 
 namespace oriolefall::stand_ins {
 
@@ -47,7 +47,7 @@
     engine_batch batch_;
     engine_models models_;
     core::bounded_ring<engine_command> commands_;
-    std::thread thread_;
+    core::duty_thread thread_;
 };
 
 } // namespace oriolefall::stand_ins
--- a/stand_ins/engine_settings.hpp
+++ b/stand_ins/engine_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <absl/time/time.h>
 
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -76,6 +77,8 @@
     std::uint64_t tokens_computed = 0;
     /// Tokens of answers whose connection was closed before their end.
     std::uint64_t tokens_wasted = 0;
+    /// Tokens computed for each priority, the highest first.
+    std::array<std::uint64_t, 3> tokens_by_priority{};
     std::uint64_t prefill_tokens_computed = 0;
     std::uint64_t prefill_tokens_cached = 0;
     std::uint32_t running = 0;
--- a/stand_ins/http_host.cpp
+++ b/stand_ins/http_host.cpp
@@ -39,17 +39,17 @@
         return;
     // The library's own backlog drops connections that come in a burst.
     ::listen(listening_socket_, accept_backlog);
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    thread_.emplace("accept", [this] { server_.listen_after_bind(); });
     // An answer of any kind shows that a later stop will be heard.
     httplib::Client("127.0.0.1", port_).Options("/");
 }
 
 http_host::~http_host()
 {
-    if (!thread_.joinable())
+    if (!thread_)
         return;
     server_.stop();
-    thread_.join();
+    thread_->join();
 }
 
 void set_error(httplib::Response& response, int status, std::string_view type,
--- a/stand_ins/http_host.hpp
+++ b/stand_ins/http_host.hpp
@@ -1,12 +1,14 @@
 #ifndef ORIOLEFALL_STAND_INS_HTTP_HOST_HPP
 #define ORIOLEFALL_STAND_INS_HTTP_HOST_HPP
 
+#include "oriolefall/core/duty_thread.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <httplib.h>
+#include <optional>
 #include <string_view>
-#include <thread>
 
 namespace oriolefall::stand_ins {
 
@@ -43,7 +45,7 @@
     httplib::Server server_;
     int listening_socket_ = -1;
     std::uint16_t port_ = 0;
-    std::thread thread_;
+    std::optional<core::duty_thread> thread_;
 };
 
 /// Gives an error in the JSON shape of language-model services.
--- a/stand_ins/platform_thread.cpp
+++ b/stand_ins/platform_thread.cpp
@@ -14,7 +14,8 @@
 } // namespace
 
 platform_thread::platform_thread(std::size_t history)
-    : desk_(history), commands_(command_capacity), thread_([this] { run(); })
+    : desk_(history), commands_(command_capacity),
+      thread_("platform", [this] { run(); })
 {
 }
 
--- a/stand_ins/platform_thread.hpp
+++ b/stand_ins/platform_thread.hpp
@@ -2,10 +2,9 @@
 #define ORIOLEFALL_STAND_INS_PLATFORM_THREAD_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
+#include "oriolefall/core/duty_thread.hpp"
 #include "stand_ins/platform_desk.hpp"
 
-#include <thread>
-
 namespace oriolefall::stand_ins {
 
 /// Faults and counters at one moment.
@@ -46,7 +45,7 @@
 
     platform_desk desk_;
     core::bounded_ring<command> commands_;
-    std::thread thread_;
+    core::duty_thread thread_;
 };
 
 } // namespace oriolefall::stand_ins
--- a/stand_ins/service_ledger.cpp
+++ b/stand_ins/service_ledger.cpp
@@ -7,7 +7,7 @@
 } // namespace
 
 service_ledger::service_ledger()
-    : commands_(command_capacity), thread_([this] { work(); })
+    : commands_(command_capacity), thread_("ledger", [this] { work(); })
 {
 }
 
--- a/stand_ins/service_ledger.hpp
+++ b/stand_ins/service_ledger.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_STAND_INS_SERVICE_LEDGER_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
+#include "oriolefall/core/duty_thread.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -9,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <thread>
 #include <variant>
 
 namespace oriolefall::stand_ins {
@@ -83,7 +83,7 @@
     service_faults faults_;
     service_counts counts_;
     core::bounded_ring<command> commands_;
-    std::thread thread_;
+    core::duty_thread thread_;
 };
 
 } // namespace oriolefall::stand_ins
--- a/tests/stand_ins/engine_server_test.cpp
+++ b/tests/stand_ins/engine_server_test.cpp
@@ -25,7 +25,7 @@
     return json{{"model", "assistant"},
                 {"messages", {{{"role", "user"}, {"content", question}}}},
                 {"max_tokens", max_tokens},
-                {"ignore_eos", true},
+                {"metadata", {{"output_tokens", max_tokens}}},
                 {"stream", stream}}
         .dump();
 }
