--- a/bench/commands.hpp
+++ b/bench/commands.hpp
@@ -26,6 +26,8 @@
 int make_traces_command(std::span<const std::string> words);
 /// Measures the cost of decisions.
 int decider_command(std::span<const std::string> words);
+/// Replays a trace against live entry instances.
+int load_command(std::span<const std::string> words);
 
 } // namespace oriolefall::bench
 
--- a/programs/bench/main.cpp
+++ b/programs/bench/main.cpp
@@ -26,6 +26,8 @@
     return {
         {"check-trace", "FILE: reads a trace and says what it holds",
          bench::check_trace_command},
+        {"load", "--entry HOST:PORT --trace FILE: replays a trace live",
+         bench::load_command},
     };
 }
 
