Mend what the linter found in local fleets

Cause: a second declaration of environ, an ordering that was deleted since a member is an Abseil duration, and a constant that kept a return from moving.

Change: the declaration is gone, the ordering is written out, the constant is a variable.

--- a/bench/child_process.cpp
+++ b/bench/child_process.cpp
@@ -13,8 +13,6 @@
 #include <system_error>
 #include <unistd.h>
 
-extern char** environ; // NOLINT(readability-identifier-naming)
-
 namespace oriolefall::bench {
 
 namespace {
--- a/bench/fleet_documents.hpp
+++ b/bench/fleet_documents.hpp
@@ -26,7 +26,7 @@
     std::size_t max_connections = 1024;
     std::size_t backend_lanes = 256;
     absl::Duration address_lifetime = absl::Seconds(1);
-    auto operator<=>(const local_instance&) const = default;
+    std::strong_ordering operator<=>(const local_instance&) const = default;
 };
 
 /// The deployment settings that say what the header of a trace says. The
--- a/bench/local_fleet.cpp
+++ b/bench/local_fleet.cpp
@@ -145,7 +145,7 @@
 std::string local_fleet::write_file(const std::string& name,
                                     const std::string& text) const
 {
-    const std::string path = folder_ + "/" + name;
+    std::string path = folder_ + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
