Keep settings as a tree with one subtree for each team

Teams change settings at the same moment and instances hear of it late, twice, out of order or from a stale read.

Racing teams and racing operators run against the stand-in.

--- /dev/null
+++ b/oriolefall/platform/settings_store.cpp
@@ -0,0 +1,118 @@
+#include "oriolefall/platform/settings_store.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace oriolefall::platform {
+
+namespace {
+
+using settings::change_refusal;
+using settings::change_refused;
+
+/// Version that the change is to replace.
+std::uint64_t version_to_replace(const settings::change& wanted,
+                                 const std::vector<settings::tree_object>& tree)
+{
+    if (wanted.expected_version)
+        return *wanted.expected_version;
+    const auto found =
+        std::ranges::find(tree, wanted.path, &settings::tree_object::path);
+    return found == tree.end() ? 0 : found->version;
+}
+
+write_condition condition_for(std::uint64_t version)
+{
+    if (version == 0)
+        return if_absent{};
+    return if_version{version};
+}
+
+change_result to_change_result(const write_result& result)
+{
+    if (const auto* done = std::get_if<written>(&result))
+        return change_accepted{done->version};
+    if (const auto* lost = std::get_if<conflict>(&result))
+        return change_refused{change_refusal::conflict, {}, lost->version};
+    if (std::holds_alternative<rejected>(result))
+        return change_refused{change_refusal::too_large, {}, 0};
+    if (std::holds_alternative<unavailable>(result))
+        return change_refused{change_refusal::unavailable, {}, 0};
+    return change_refused{change_refusal::unknown_outcome, {}, 0};
+}
+
+} // namespace
+
+settings::tree_object to_tree_object(const stored_object& from)
+{
+    return {from.path, from.version, from.value};
+}
+
+settings_store::settings_store(object_store store,
+                               std::vector<settings::team_key> keys)
+    : store_(std::move(store)), keys_(std::move(keys))
+{
+}
+
+tree_read_result settings_store::get(const std::string& path)
+{
+    if (!settings::team_of(path))
+        return not_found{};
+    const read_result result = store_.read(path);
+    if (const auto* object = std::get_if<stored_object>(&result))
+        return to_tree_object(*object);
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    return not_found{};
+}
+
+tree_list_result settings_store::list()
+{
+    const list_result result = store_.list(std::string(settings::tree_root));
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    std::vector<settings::tree_object> tree;
+    std::ranges::transform(std::get<object_list>(result).objects,
+                           std::back_inserter(tree), to_tree_object);
+    return tree;
+}
+
+change_result settings_store::put(const settings::change& wanted)
+{
+    const tree_list_result listed = list();
+    if (std::holds_alternative<unavailable>(listed))
+        return change_refused{change_refusal::unavailable, {}, 0};
+    const auto& tree = std::get<std::vector<settings::tree_object>>(listed);
+    auto checked = settings::check_change(wanted, tree, keys_);
+    if (auto* refused = std::get_if<change_refused>(&checked))
+        return std::move(*refused);
+    const auto& value = std::get<settings::change_checked>(checked).value;
+    return to_change_result(store_.put(
+        wanted.path, value, condition_for(version_to_replace(wanted, tree))));
+}
+
+watch_result settings_store::watch(std::uint64_t from, absl::Duration limit)
+{
+    return store_.watch(std::string(settings::tree_root), from, limit);
+}
+
+in_force_result wait_in_force(const settings::path_version& wanted,
+                              const lagging_hook& lagging,
+                              const in_force_settings& settings,
+                              stop_signal& stop)
+{
+    const absl::Time until = settings.clock() + settings.limit;
+    for (std::uint32_t repeat = 0;; ++repeat) {
+        std::vector<core::instance_id> behind = lagging(wanted);
+        if (behind.empty())
+            return in_force_everywhere{};
+        const absl::Duration left = until - settings.clock();
+        const absl::Duration pause = std::min(
+            left, backoff_delay(settings.backoff, repeat, settings.random));
+        if (left <= absl::ZeroDuration() || !stop.wait(pause))
+            return not_yet_in_force{std::move(behind)};
+    }
+}
+
+} // namespace oriolefall::platform
--- /dev/null
+++ b/oriolefall/platform/settings_store.hpp
@@ -0,0 +1,103 @@
+#ifndef ORIOLEFALL_PLATFORM_SETTINGS_STORE_HPP
+#define ORIOLEFALL_PLATFORM_SETTINGS_STORE_HPP
+
+#include "oriolefall/core/clock.hpp"
+#include "oriolefall/core/ids.hpp"
+#include "oriolefall/platform/backoff.hpp"
+#include "oriolefall/platform/object_store.hpp"
+#include "oriolefall/platform/stop_signal.hpp"
+#include "oriolefall/settings/change.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oriolefall::platform {
+
+/// The change is durable and will be in force at every instance.
+struct change_accepted
+{
+    std::uint64_t version = 0;
+    auto operator<=>(const change_accepted&) const = default;
+};
+
+using change_result = std::variant<change_accepted, settings::change_refused>;
+using tree_read_result =
+    std::variant<settings::tree_object, not_found, unavailable>;
+using tree_list_result =
+    std::variant<std::vector<settings::tree_object>, unavailable>;
+
+/// Every live instance has the version in force.
+struct in_force_everywhere
+{
+    auto operator<=>(const in_force_everywhere&) const = default;
+};
+
+/// The time limit came first; these instances did not have it yet.
+struct not_yet_in_force
+{
+    std::vector<core::instance_id> lagging;
+    auto operator<=>(const not_yet_in_force&) const = default;
+};
+
+using in_force_result = std::variant<in_force_everywhere, not_yet_in_force>;
+
+/// Live instances that do not have this version of an object in force yet;
+/// may block for a while.
+using lagging_hook = std::function<std::vector<core::instance_id>(
+    const settings::path_version&)>;
+
+/// What `oriolefall settings get|put|list|watch` does. It checks the teams'
+/// keys, so it runs in an instance, behind the operators' HTTP:
+///
+///     client calls(client_settings{...});
+///     settings_store tree(calls.as_object_store(), instance.team_keys);
+///     tree.put({.team = ..., .key = ..., .path = "/teams/a/main",
+///               .text = ..., .expected_version = {}});
+///
+/// One thread, which makes all calls of the store.
+class settings_store
+{
+public:
+    settings_store(object_store store, std::vector<settings::team_key> keys);
+
+    [[nodiscard]] tree_read_result get(const std::string& path);
+    /// Every team's objects.
+    [[nodiscard]] tree_list_result list();
+    /// Checks a change against all settings and writes it. Of two that race
+    /// for one object, the other is refused with `conflict`.
+    [[nodiscard]] change_result put(const settings::change& wanted);
+    /// Changes after revision `from`; see `client::watch`.
+    [[nodiscard]] watch_result watch(std::uint64_t from, absl::Duration limit);
+
+private:
+    object_store store_;
+    std::vector<settings::team_key> keys_;
+};
+
+/// An object of the platform as one of the settings tree.
+[[nodiscard]] settings::tree_object to_tree_object(const stored_object& from);
+
+/// How `wait_in_force` asks.
+struct in_force_settings
+{
+    absl::Duration limit = absl::Seconds(30);
+    backoff_settings backoff{absl::Milliseconds(100), absl::Seconds(1)};
+    core::clock_hook clock = core::monotonic_now;
+    random_hook random = draw_uniform;
+};
+
+/// What `settings put --wait` does after acceptance: asks `lagging` with
+/// growing pauses until it names no instance or the limit has passed. `stop`
+/// ends it early.
+[[nodiscard]] in_force_result
+wait_in_force(const settings::path_version& wanted, const lagging_hook& lagging,
+              const in_force_settings& settings, stop_signal& stop);
+
+} // namespace oriolefall::platform
+
+#endif
--- /dev/null
+++ b/oriolefall/settings/tree_object.hpp
@@ -0,0 +1,44 @@
+#ifndef ORIOLEFALL_SETTINGS_TREE_OBJECT_HPP
+#define ORIOLEFALL_SETTINGS_TREE_OBJECT_HPP
+
+#include "oriolefall/core/ids.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace oriolefall::settings {
+
+/// Every settings path starts with it.
+inline constexpr std::string_view tree_root = "/teams/";
+
+/// One object of the settings tree. Objects are never deleted, only replaced
+/// by an empty one, so that a missing object tells nothing.
+struct tree_object
+{
+    /// "/teams/TEAM/NAME", possibly with more parts.
+    std::string path;
+    /// Version that the platform gave it; later is higher.
+    std::uint64_t version = 0;
+    /// JSON text of an object.
+    std::string value;
+    auto operator<=>(const tree_object&) const = default;
+};
+
+/// That an object has a version; what instances tell each other.
+struct path_version
+{
+    std::string path;
+    std::uint64_t version = 0;
+    auto operator<=>(const path_version&) const = default;
+};
+
+/// The team whose subtree holds `path`; nothing when the path is not
+/// "/teams/TEAM/NAME" of letters, digits, '.', '_' and '-'. Any thread.
+[[nodiscard]] std::optional<core::team_name> team_of(std::string_view path);
+
+} // namespace oriolefall::settings
+
+#endif
--- /dev/null
+++ b/tests/platform/settings_store_test.cpp
@@ -0,0 +1,198 @@
+#include "oriolefall/platform/settings_store.hpp"
+#include "tests/platform/platform_fixture.hpp"
+
+#include <atomic>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using platform::change_accepted;
+using settings::change_refusal;
+using settings::change_refused;
+using tests::platform_fixture;
+
+namespace {
+
+const std::vector<settings::team_key> keys{
+    {core::team_name("a"), "key-of-team-a-01"},
+    {core::team_name("b"), "key-of-team-b-01"}};
+
+/// An operator with a client of its own.
+struct operator_session
+{
+    explicit operator_session(platform_fixture& platform)
+        : client(platform.settings()), tree(client.as_object_store(), keys)
+    {
+    }
+
+    platform::change_result put(const std::string& team,
+                                const std::string& text)
+    {
+        return tree.put({core::team_name(team), "key-of-team-" + team + "-01",
+                         "/teams/" + team + "/main", text, std::nullopt});
+    }
+
+    platform::client client;
+    platform::settings_store tree;
+};
+
+std::string workspace(const std::string& name)
+{
+    return R"({"workspaces":[{"name":")" + name + "\"}]}";
+}
+
+change_refusal refusal_of(const platform::change_result& result)
+{
+    const auto* refused = std::get_if<change_refused>(&result);
+    cr_assert_not_null(refused);
+    return refused->reason;
+}
+
+} // namespace
+
+Test(settings_store, puts_gets_and_lists)
+{
+    platform_fixture platform;
+    operator_session session(platform);
+    const auto accepted =
+        std::get<change_accepted>(session.put("a", workspace("w")));
+    const auto object =
+        std::get<settings::tree_object>(session.tree.get("/teams/a/main"));
+    cr_assert_eq(object.version, accepted.version);
+    cr_assert_eq(object.value, workspace("w"));
+    const auto all =
+        std::get<std::vector<settings::tree_object>>(session.tree.list());
+    cr_assert(all == std::vector{object});
+    cr_assert(std::holds_alternative<platform::not_found>(
+        session.tree.get("/claims/x/y")));
+}
+
+Test(settings_store, a_refused_change_writes_nothing)
+{
+    platform_fixture platform;
+    operator_session session(platform);
+    cr_assert(refusal_of(session.put("a", R"({"colour":1})")) ==
+              change_refusal::invalid);
+    cr_assert(refusal_of(session.put("c", "{}")) ==
+              change_refusal::unknown_team);
+    const auto all =
+        std::get<std::vector<settings::tree_object>>(session.tree.list());
+    cr_assert(all.empty());
+}
+
+Test(settings_store, an_expected_version_that_is_old_is_a_conflict)
+{
+    platform_fixture platform;
+    operator_session session(platform);
+    const auto first =
+        std::get<change_accepted>(session.put("a", workspace("w")));
+    const auto second =
+        std::get<change_accepted>(session.put("a", workspace("x")));
+    const auto result =
+        session.tree.put({core::team_name("a"), "key-of-team-a-01",
+                          "/teams/a/main", "{}", first.version});
+    const change_refused expected{change_refusal::conflict, {}, second.version};
+    cr_assert(result == platform::change_result(expected));
+}
+
+Test(settings_store, a_lost_answer_is_told_as_accepted)
+{
+    platform_fixture platform;
+    operator_session session(platform);
+    platform.set_faults(R"({"lose_answers":1})");
+    cr_assert(std::holds_alternative<change_accepted>(
+        session.put("a", workspace("w"))));
+}
+
+Test(settings_store, an_outage_is_unavailable)
+{
+    platform_fixture platform;
+    operator_session session(platform);
+    platform.set_faults(R"({"outage":true})");
+    cr_assert(refusal_of(session.put("a", "{}")) ==
+              change_refusal::unavailable);
+}
+
+Test(settings_store, racing_teams_both_get_their_changes)
+{
+    constexpr int rounds = 20;
+    platform_fixture platform;
+    std::atomic<int> accepted = 0;
+    const auto run = [&](const std::string& team) {
+        operator_session session(platform);
+        for (int i = 0; i < rounds; ++i) {
+            const auto result =
+                session.put(team, workspace(core::concat(team, i)));
+            accepted += std::holds_alternative<change_accepted>(result);
+        }
+    };
+    std::thread first(run, "a");
+    std::thread second(run, "b");
+    first.join();
+    second.join();
+    cr_assert_eq(accepted.load(), 2 * rounds);
+}
+
+Test(settings_store, operators_racing_for_one_object_never_overwrite_unseen)
+{
+    constexpr int rounds = 20;
+    platform_fixture platform;
+    std::atomic<int> accepted = 0;
+    std::atomic<int> conflicts = 0;
+    const auto run = [&](const std::string& name) {
+        operator_session session(platform);
+        for (int i = 0; i < rounds; ++i) {
+            const auto result =
+                session.put("a", workspace(core::concat(name, i)));
+            if (std::holds_alternative<change_accepted>(result))
+                ++accepted;
+            else if (refusal_of(result) == change_refusal::conflict)
+                ++conflicts;
+        }
+    };
+    std::thread first(run, "x");
+    std::thread second(run, "y");
+    first.join();
+    second.join();
+    cr_assert_eq(accepted.load() + conflicts.load(), 2 * rounds);
+    operator_session session(platform);
+    const auto object =
+        std::get<settings::tree_object>(session.tree.get("/teams/a/main"));
+    // Each accepted change took exactly one version of the store.
+    cr_assert_eq(object.version, static_cast<std::uint64_t>(accepted.load()));
+}
+
+Test(settings_store, waits_until_no_instance_lags)
+{
+    platform::stop_signal stop;
+    platform::in_force_settings quick;
+    quick.backoff = {absl::Milliseconds(1), absl::Milliseconds(2)};
+    int asked = 0;
+    const auto result = platform::wait_in_force(
+        {"/teams/a/main", 7},
+        [&](const settings::path_version& wanted) {
+            cr_assert_eq(wanted.version, 7);
+            std::vector<core::instance_id> lagging;
+            if (++asked < 4)
+                lagging.emplace_back("i-1");
+            return lagging;
+        },
+        quick, stop);
+    cr_assert(std::holds_alternative<platform::in_force_everywhere>(result));
+    cr_assert_eq(asked, 4);
+}
+
+Test(settings_store, names_the_instances_that_lag_at_the_limit)
+{
+    platform::stop_signal stop;
+    platform::in_force_settings quick;
+    quick.backoff = {absl::Milliseconds(1), absl::Milliseconds(2)};
+    quick.limit = absl::Milliseconds(10);
+    std::vector<core::instance_id> lagging{core::instance_id("i-1")};
+    const auto result = platform::wait_in_force(
+        {"/teams/a/main", 7}, [&](const auto&) { return lagging; }, quick,
+        stop);
+    cr_assert(result ==
+              platform::in_force_result(platform::not_yet_in_force{lagging}));
+}
