--- a/oriolefall/front/server.cpp
+++ b/oriolefall/front/server.cpp
@@ -2,6 +2,7 @@
 
 #include "oriolefall/front/routes.hpp"
 
+#include <future>
 #include <httplib.h>
 #include <utility>
 
@@ -15,9 +16,6 @@
     routes_->install(*http_);
     http_->set_payload_max_length(settings_.max_body_bytes);
     http_->set_tcp_nodelay(true);
-    http_->new_task_queue = [connections = settings_.max_connections] {
-        return new httplib::ThreadPool(connections);
-    };
 }
 
 server::~server()
@@ -38,7 +36,15 @@
             return false;
         port_ = listen.port;
     }
+    // The library asks for its workers once it has begun to listen; a stop
+    // before that would have no effect.
+    std::promise<void> listening;
+    http_->new_task_queue = [this, &listening] {
+        listening.set_value();
+        return new httplib::ThreadPool(settings_.max_connections);
+    };
     listener_ = std::thread([this] { http_->listen_after_bind(); });
+    listening.get_future().wait();
     return true;
 }
 
--- /dev/null
+++ b/tests/cli/check_test.cpp
@@ -0,0 +1,90 @@
+#include "tests/cli/program.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using oriolefall::tests::program_result;
+using oriolefall::tests::run_program;
+using oriolefall::tests::source_file;
+
+namespace {
+
+/// A file of its own that is removed with this object.
+class temporary_file
+{
+public:
+    explicit temporary_file(const std::string& text)
+    {
+        const int handle = ::mkstemp(name_.data());
+        cr_assert_geq(handle, 0);
+        ::close(handle);
+        std::ofstream(name_) << text;
+    }
+    temporary_file(const temporary_file&) = delete;
+    temporary_file& operator=(const temporary_file&) = delete;
+    ~temporary_file()
+    {
+        std::remove(name_.c_str());
+    }
+
+    [[nodiscard]] const std::string& name() const
+    {
+        return name_;
+    }
+
+private:
+    std::string name_ = "/tmp/oriolefall-check-XXXXXX";
+};
+
+} // namespace
+
+Test(check, examples_are_sound)
+{
+    const program_result deployments =
+        run_program({"check", source_file("examples/dala_compass.jsonc"),
+                     source_file("examples/vitols.jsonc")});
+    cr_assert_eq(deployments.exit_status, 0, "%s", deployments.out.c_str());
+    const program_result instance = run_program(
+        {"check", "--instance", source_file("examples/instance.jsonc")});
+    cr_assert_eq(instance.exit_status, 0, "%s", instance.out.c_str());
+}
+
+Test(check, each_fault_is_one_line_with_file_path_found_and_allowed)
+{
+    const temporary_file file(
+        R"({"instance":"a","listen":"nowhere","colour":"red"})");
+    const program_result result =
+        run_program({"check", "--instance", file.name()});
+    cr_assert_eq(result.exit_status, 2);
+    const std::string listen =
+        file.name() + ": /listen: found \"nowhere\", allowed: ";
+    const std::string colour =
+        file.name() + ": /colour: found \"red\", allowed: ";
+    cr_assert(result.out.find(listen) != std::string::npos, "%s",
+              result.out.c_str());
+    cr_assert(result.out.find(colour) != std::string::npos, "%s",
+              result.out.c_str());
+    cr_assert_geq(std::ranges::count(result.out, '\n'), 2);
+}
+
+Test(check, one_faulty_file_among_sound_ones_is_status_2)
+{
+    const temporary_file file("{");
+    const std::string sound = source_file("examples/vitols.jsonc");
+    const program_result result =
+        run_program({"check", sound, file.name(), sound});
+    cr_assert_eq(result.exit_status, 2);
+    cr_assert(result.out.find(sound + ": ok\n") != std::string::npos);
+}
+
+Test(check, file_that_cannot_be_read_is_named)
+{
+    const program_result result = run_program({"check", "/nonexistent/a"});
+    cr_assert_eq(result.exit_status, 2);
+    cr_assert(result.err.find("/nonexistent/a: cannot be read") !=
+              std::string::npos);
+}
--- a/tests/front/paths_test.cpp
+++ b/tests/front/paths_test.cpp
@@ -95,3 +95,10 @@
     cr_assert_eq(result->status, 404);
     cr_assert(json::parse(result->body).contains("error"));
 }
+
+Test(paths, a_server_may_be_stopped_as_soon_as_it_has_started)
+{
+    const fake_instance first(answer_body);
+    const fake_instance second(answer_body);
+    cr_assert_neq(first.port(), second.port());
+}
