Take environ from the system's header

Cause: a declaration of our own stood beside that of the header.

Change: ours is gone.

Measured: nothing by itself; it builds and the tests of the program pass.

--- a/tests/cli/program.cpp
+++ b/tests/cli/program.cpp
@@ -9,8 +9,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace oriolefall::tests {
 
 namespace {
