Serve: one path from a caller through an instance to an engine and back

Cause: nothing ran end to end yet. The first run showed each answer's finish reason as empty: an event without an id keeps the stream's last one, so the last event looked like a repeat of the token before it and was dropped.

--- a/oriolefall/backend/call_runner.cpp
+++ b/oriolefall/backend/call_runner.cpp
@@ -148,13 +148,16 @@
 
 bool call_runner::on_token(const engine_token& token)
 {
-    const std::uint64_t index = token.index.value_or(next_index_);
-    if (index < next_index_)
-        return true;
+    // An event without text has no place of its own: a stream's last id stays
+    // in force for the events after it.
     if (token.text.empty()) {
         return token.finish_reason.empty() ||
-               deliver(core::answer_token{index, {}, token.finish_reason});
+               deliver(
+                   core::answer_token{next_index_, {}, token.finish_reason});
     }
+    const std::uint64_t index = token.index.value_or(next_index_);
+    if (index < next_index_)
+        return true;
     if (index > next_index_) {
         faulty_ = true;
         return false;
--- a/programs/oriolefall/check_command.cpp
+++ b/programs/oriolefall/check_command.cpp
@@ -2,12 +2,10 @@
 #include "oriolefall/settings/instance_settings.hpp"
 #include "programs/oriolefall/command_line.hpp"
 #include "programs/oriolefall/commands.hpp"
+#include "programs/oriolefall/settings_file.hpp"
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
-#include <iterator>
-#include <optional>
 
 namespace oriolefall::programs {
 
@@ -31,15 +29,6 @@
     return line;
 }
 
-std::optional<std::string> read_file(const std::string& name)
-{
-    std::ifstream file(name);
-    if (!file)
-        return std::nullopt;
-    std::string text{std::istreambuf_iterator<char>(file), {}};
-    return file.bad() ? std::nullopt : std::optional(std::move(text));
-}
-
 template <class Value>
 faults faults_of(const std::variant<Value, faults>& parsed)
 {
@@ -53,13 +42,6 @@
                     : faults_of(settings::parse_deployment(text));
 }
 
-void print_fault(const std::string& file, const core::settings_error& fault)
-{
-    std::cout << file << ": " << (fault.path.empty() ? "/" : fault.path)
-              << ": found " << fault.found << ", allowed: " << fault.allowed
-              << '\n';
-}
-
 /// True when the file is sound.
 bool check_file(const std::string& file, bool instance)
 {
@@ -69,8 +51,7 @@
         return false;
     }
     const faults found = check_text(*text, instance);
-    std::ranges::for_each(found,
-                          [&](const auto& fault) { print_fault(file, fault); });
+    print_faults(std::cout, file, found);
     if (found.empty())
         std::cout << file << ": ok\n";
     return found.empty();
--- a/programs/oriolefall/commands.cpp
+++ b/programs/oriolefall/commands.cpp
@@ -4,7 +4,7 @@
 
 std::vector<command> all_commands()
 {
-    return {check_command(), entry_command(), status_command(),
+    return {serve_command(), check_command(), entry_command(), status_command(),
             explain_command()};
 }
 
