Run moves over the platform and print the settings reference

move_text reads and prints moves and leases with the checks of all settings; move_store serves the operators' create, show, list, pause, resume and abort; move_duty runs a mover on a thread of its own against the object API. docs/SETTINGS.md is printed from the parser's own descriptions and held against them by tests.

Tested with the platform stand-in: three candidates, lost answers, an outage, and a holder that is gone.

--- /dev/null
+++ b/oriolefall/platform/move_duty.cpp
@@ -0,0 +1,141 @@
+#include "oriolefall/platform/move_duty.hpp"
+
+#include "oriolefall/platform/move_text.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace oriolefall::platform {
+
+namespace {
+
+write_condition condition_for(std::uint64_t version)
+{
+    if (version == 0)
+        return if_absent{};
+    return if_version{version};
+}
+
+/// Version of a write that took effect; 0 when it did not, or may not have.
+std::uint64_t version_of(const write_result& result)
+{
+    const auto* done = std::get_if<written>(&result);
+    return done == nullptr ? 0 : done->version;
+}
+
+} // namespace
+
+move_duty::move_duty(move_duty_settings settings, object_store store,
+                     std::function<void()> stop_store, move_duty_hooks hooks)
+    : settings_(std::move(settings)), store_(std::move(store)),
+      stop_store_(std::move(stop_store)), hooks_(std::move(hooks)),
+      mover_(settings_.instance, settings_.mover), events_(settings_.capacity),
+      thread_("move", [this] { run(); })
+{
+}
+
+move_duty::~move_duty()
+{
+    events_.close();
+    stop_store_();
+    thread_.join();
+}
+
+bool move_duty::tell(move::event event)
+{
+    return events_.try_push(std::move(event));
+}
+
+void move_duty::run()
+{
+    while (true) {
+        read_if_due();
+        report_waiting();
+        const absl::Time now = settings_.clock();
+        const absl::Time until =
+            std::min(mover_.next_tick(now), read_at_ + settings_.read_interval);
+        auto next = events_.pop_until(core::to_steady(until));
+        if (std::holds_alternative<core::ring_closed>(next))
+            return;
+        if (const auto* event = std::get_if<move::event>(&next))
+            step(*event);
+        else
+            step(move::tick{});
+    }
+}
+
+void move_duty::read_if_due()
+{
+    if (settings_.clock() < read_at_ + settings_.read_interval)
+        return;
+    read_move();
+    read_lease();
+    read_at_ = settings_.clock();
+}
+
+void move_duty::read_move()
+{
+    const read_result result = store_.read(move_path(settings_.name));
+    const auto* object = std::get_if<stored_object>(&result);
+    if (object == nullptr)
+        return;
+    auto parsed = parse_move(object->value);
+    if (auto* value = std::get_if<move::move_object>(&parsed))
+        step(move::move_seen{std::move(*value), object->version});
+}
+
+void move_duty::read_lease()
+{
+    const read_result result = store_.read(move_lease_path(settings_.name));
+    const auto* object = std::get_if<stored_object>(&result);
+    if (object == nullptr)
+        return;
+    if (const auto lease = parse_lease(object->value))
+        step(move::lease_seen{*lease, object->version});
+}
+
+void move_duty::step(const move::event& event)
+{
+    std::vector<move::action> actions;
+    mover_.step(settings_.clock(), event, actions);
+    const auto& object = mover_.object();
+    if (object && mover_.version() != version_told_) {
+        version_told_ = mover_.version();
+        hooks_.changed(*object, version_told_);
+    }
+    for (const move::action& action : actions)
+        std::visit([this](const auto& some) { carry_out(some); }, action);
+}
+
+void move_duty::carry_out(const move::write_lease& action)
+{
+    const write_result result =
+        store_.put(move_lease_path(settings_.name), print_lease(action.lease),
+                   condition_for(action.expected_version));
+    step(move::lease_write_ended{version_of(result)});
+}
+
+void move_duty::carry_out(const move::store_move& action)
+{
+    const write_result result =
+        store_.put(move_path(settings_.name), print_move(action.object),
+                   condition_for(action.expected_version));
+    step(move::move_write_ended{version_of(result)});
+}
+
+void move_duty::carry_out(const move::send_order& action)
+{
+    hooks_.send_order(action);
+}
+
+void move_duty::report_waiting()
+{
+    move::waiting waiting = mover_.waits_for(settings_.clock());
+    if (waiting == waiting_told_)
+        return;
+    waiting_told_ = std::move(waiting);
+    hooks_.waits(waiting_told_);
+}
+
+} // namespace oriolefall::platform
--- /dev/null
+++ b/oriolefall/platform/move_store.cpp
@@ -0,0 +1,106 @@
+#include "oriolefall/platform/move_store.hpp"
+
+#include "oriolefall/platform/move_text.hpp"
+
+#include <utility>
+
+namespace oriolefall::platform {
+
+namespace {
+
+constexpr const char* moves_root = "/moves/";
+/// Tries of a wish; a holder takes a step every few seconds at most.
+constexpr int wish_attempts = 5;
+
+move_write_result to_move_result(const write_result& result)
+{
+    if (const auto* done = std::get_if<written>(&result))
+        return *done;
+    if (const auto* lost = std::get_if<conflict>(&result))
+        return *lost;
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    if (const auto* refused = std::get_if<rejected>(&result))
+        return invalid_move{{{"/", refused->why, "a value up to 1MiB"}}};
+    return std::get<unknown_outcome>(result);
+}
+
+/// A new move starts from the beginning, whatever its text says.
+void reset(move::move_object& object)
+{
+    object.phase = move::phase::accepted;
+    object.paused = false;
+    object.percent = 0;
+    object.history.clear();
+}
+
+} // namespace
+
+move_store::move_store(object_store store) : store_(std::move(store)) {}
+
+move_write_result move_store::create(std::string_view text)
+{
+    auto parsed = parse_move(text);
+    if (auto* faults = std::get_if<std::vector<core::settings_error>>(&parsed))
+        return invalid_move{std::move(*faults)};
+    auto& object = std::get<move::move_object>(parsed);
+    reset(object);
+    return to_move_result(
+        store_.put(move_path(object.name), print_move(object), if_absent{}));
+}
+
+move_read_result move_store::show(const core::move_name& name)
+{
+    const read_result result = store_.read(move_path(name));
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    const auto* object = std::get_if<stored_object>(&result);
+    if (object == nullptr)
+        return not_found{};
+    auto parsed = parse_move(object->value);
+    if (auto* value = std::get_if<move::move_object>(&parsed))
+        return stored_move{std::move(*value), object->version};
+    return invalid_move{
+        std::get<std::vector<core::settings_error>>(std::move(parsed))};
+}
+
+move_list_result move_store::list()
+{
+    const list_result result = store_.list(moves_root);
+    if (const auto* failed = std::get_if<unavailable>(&result))
+        return *failed;
+    std::vector<stored_move> moves;
+    for (const stored_object& object : std::get<object_list>(result).objects) {
+        auto parsed = parse_move(object.value);
+        if (auto* value = std::get_if<move::move_object>(&parsed))
+            moves.push_back({std::move(*value), object.version});
+    }
+    return moves;
+}
+
+move_write_result move_store::set_wish(const core::move_name& name,
+                                       move::wish wish)
+{
+    move_write_result last = not_found{};
+    for (int attempt = 0; attempt < wish_attempts; ++attempt) {
+        move_read_result found = show(name);
+        if (const auto* failed = std::get_if<unavailable>(&found))
+            return *failed;
+        if (auto* faulty = std::get_if<invalid_move>(&found))
+            return std::move(*faulty);
+        auto* stored = std::get_if<stored_move>(&found);
+        if (stored == nullptr)
+            return not_found{};
+        if (move::is_ended(stored->object))
+            return move_ended{stored->object.phase};
+        stored->object.wish = wish;
+        last = to_move_result(store_.put(move_path(name),
+                                         print_move(stored->object),
+                                         if_version{stored->version}));
+        if (!std::holds_alternative<conflict>(last))
+            return last;
+    }
+    return last;
+}
+
+} // namespace oriolefall::platform
--- /dev/null
+++ b/tests/platform/move_duty_test.cpp
@@ -0,0 +1,157 @@
+#include "oriolefall/platform/move_duty.hpp"
+#include "oriolefall/platform/move_text.hpp"
+#include "tests/platform/platform_fixture.hpp"
+
+#include <memory>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using move::phase;
+using tests::platform_fixture;
+
+namespace {
+
+const core::move_name name("weekend");
+
+/// Times short enough for a test; none of them decides its verdict.
+move::mover_settings quick_mover()
+{
+    move::mover_settings settings;
+    settings.lease = {absl::Milliseconds(1500), absl::Milliseconds(100)};
+    settings.order_limit = absl::Milliseconds(100);
+    settings.order_repeat = absl::Milliseconds(100);
+    settings.load_interval = absl::Milliseconds(10);
+    settings.step_hold = absl::Milliseconds(50);
+    settings.fewest_answers = 1;
+    return settings;
+}
+
+/// One instance that is a candidate for the lease. Servers load at once and
+/// run nothing; callers are always answered in time.
+class candidate
+{
+public:
+    candidate(platform_fixture& platform, const std::string& instance,
+              core::bounded_ring<move::move_object>& versions)
+        : client_(platform.settings()),
+          duty_(
+              settings(instance), client_.as_object_store(),
+              [this] { client_.stop(); }, hooks(versions))
+    {
+    }
+
+private:
+    static platform::move_duty_settings settings(const std::string& instance)
+    {
+        platform::move_duty_settings settings;
+        settings.name = name;
+        settings.instance = core::instance_id(instance);
+        settings.mover = quick_mover();
+        settings.read_interval = absl::Milliseconds(50);
+        return settings;
+    }
+
+    platform::move_duty_hooks
+    hooks(core::bounded_ring<move::move_object>& versions)
+    {
+        platform::move_duty_hooks hooks;
+        hooks.send_order = [this](const move::send_order& order) {
+            duty_.tell(move::order_answered{order.server, order.model,
+                                            move::order_outcome::loaded});
+        };
+        hooks.changed = [this, &versions](const move::move_object& object,
+                                          std::uint64_t) {
+            versions.push(object);
+            report();
+        };
+        hooks.waits = [this](const move::waiting&) { report(); };
+        return hooks;
+    }
+
+    /// What instances report all the time.
+    void report()
+    {
+        duty_.tell(move::figures_reported{{{core::class_name("c"), 9, 9}}});
+        duty_.tell(move::server_load_seen{core::backend_server_id("old"), 0});
+    }
+
+    platform::client client_;
+    platform::move_duty duty_;
+};
+
+void create_move(platform_fixture& platform)
+{
+    move::move_object object;
+    object.name = name;
+    object.leaving = {core::backend_server_id("old")};
+    object.arriving = {
+        {core::backend_server_id("new"), {core::model_name("m")}, false}};
+    platform::client client(platform.settings());
+    const auto result =
+        client.put(platform::move_path(name), platform::print_move(object),
+                   platform::if_absent{});
+    cr_assert(std::holds_alternative<platform::written>(result));
+}
+
+/// The first version that has ended, from whichever instance tells it.
+move::move_object wait_for_end(core::bounded_ring<move::move_object>& versions)
+{
+    while (true) {
+        auto object = versions.pop();
+        cr_assert(object.has_value());
+        if (move::is_ended(*object))
+            return std::move(*object);
+    }
+}
+
+} // namespace
+
+Test(move_duty, ends_a_move_with_several_candidates)
+{
+    platform_fixture platform;
+    core::bounded_ring<move::move_object> versions(1024);
+    create_move(platform);
+    std::vector<std::unique_ptr<candidate>> candidates;
+    for (const char* instance : {"i-1", "i-2", "i-3"})
+        candidates.push_back(
+            std::make_unique<candidate>(platform, instance, versions));
+    const move::move_object ended = wait_for_end(versions);
+    versions.close();
+    cr_assert(ended.phase == phase::done);
+    cr_assert_eq(ended.percent, 100);
+    for (std::size_t i = 1; i < ended.history.size(); ++i)
+        cr_assert(move::may_follow(ended.history[i - 1].phase,
+                                   ended.history[i].phase));
+}
+
+Test(move_duty, ends_a_move_after_lost_answers_and_an_outage)
+{
+    platform_fixture platform;
+    core::bounded_ring<move::move_object> versions(1024);
+    create_move(platform);
+    platform.set_faults(R"({"lose_answers":6})");
+    candidate first(platform, "i-1", versions);
+    candidate second(platform, "i-2", versions);
+    cr_assert(versions.pop().has_value());
+    platform.set_faults(R"({"outage":true})");
+    platform.set_faults(R"({"outage":false})");
+    const move::move_object ended = wait_for_end(versions);
+    versions.close();
+    cr_assert(ended.phase == phase::done);
+}
+
+Test(move_duty, a_move_goes_on_at_another_instance_when_its_holder_is_gone)
+{
+    platform_fixture platform;
+    core::bounded_ring<move::move_object> versions(1024);
+    create_move(platform);
+    auto first = std::make_unique<candidate>(platform, "i-1", versions);
+    while (versions.pop()->phase == phase::accepted) {
+    }
+    first.reset();
+    candidate second(platform, "i-2", versions);
+    const move::move_object ended = wait_for_end(versions);
+    versions.close();
+    cr_assert(ended.phase == phase::done);
+}
--- /dev/null
+++ b/tests/platform/move_text_test.cpp
@@ -0,0 +1,121 @@
+#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/settings/reference.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <rapidcheck.h>
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using errors = std::vector<core::settings_error>;
+
+namespace {
+
+template <class Enum>
+Enum any(std::size_t count)
+{
+    return static_cast<Enum>(*rc::gen::inRange<std::size_t>(0, count));
+}
+
+move::step_record any_record()
+{
+    move::step_record record;
+    record.at = absl::FromUnixMillis(*rc::gen::inRange(0, 1 << 30));
+    record.phase = any<move::phase>(6);
+    record.percent = *rc::gen::inRange(0U, 101U);
+    record.cause = any<move::step_cause>(10);
+    if (*rc::gen::arbitrary<bool>())
+        record.lowest_class = core::class_name("c");
+    record.attainment = *rc::gen::inRange(0, 101) / 100.0;
+    record.fencing_number = *rc::gen::inRange(0U, 1000U);
+    return record;
+}
+
+move::move_object any_move()
+{
+    move::move_object object;
+    object.name = core::move_name("weekend");
+    object.classes = {{core::class_name("c"), any<core::tier>(3),
+                       *rc::gen::inRange(0U, 1001U)}};
+    object.leaving = {core::backend_server_id("old")};
+    object.arriving = {{core::backend_server_id("new"),
+                        {core::model_name("m")},
+                        *rc::gen::arbitrary<bool>()}};
+    object.wish = any<move::wish>(3);
+    object.phase = any<move::phase>(6);
+    object.paused = *rc::gen::arbitrary<bool>();
+    object.percent = *rc::gen::inRange(0U, 101U);
+    const auto steps = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < steps; ++i)
+        object.history.push_back(any_record());
+    return object;
+}
+
+errors faults_of(const char* text)
+{
+    const auto parsed = platform::parse_move(text);
+    const auto* faults = std::get_if<errors>(&parsed);
+    return faults == nullptr ? errors() : *faults;
+}
+
+} // namespace
+
+Test(move_text, is_read_as_it_was_printed)
+{
+    const bool held = rc::check("print and parse", [] {
+        const move::move_object object = any_move();
+        const auto parsed = platform::parse_move(platform::print_move(object));
+        RC_ASSERT(std::holds_alternative<move::move_object>(parsed));
+        RC_ASSERT(std::get<move::move_object>(parsed) == object);
+    });
+    cr_assert(held);
+}
+
+Test(move_text, of_an_operator_may_leave_out_what_instances_write)
+{
+    const auto parsed = platform::parse_move(R"({
+        // Three old servers make room for one.
+        "name": "weekend", "leaving": ["a", "b", "c"],
+        "arriving": [{"id": "d", "models": ["m"]}]})");
+    const auto& object = std::get<move::move_object>(parsed);
+    cr_assert_eq(object.leaving.size(), 3);
+    cr_assert(object.phase == move::phase::accepted);
+    cr_assert(object.wish == move::wish::run);
+}
+
+Test(move_text, tells_every_fault)
+{
+    const auto faults = faults_of(R"({"name": "m", "leaving": ["a"],
+        "arriving": [{"id": "a"}, {"id": "b"}, {"id": "b"}],
+        "classes": [{"name": "c", "tier": "gold"}], "percent": 101})");
+    std::vector<std::string> paths;
+    for (const core::settings_error& fault : faults)
+        paths.push_back(fault.path);
+    const std::vector<std::string> expected{"/classes/0/tier", "/percent",
+                                            "/arriving/2/id", "/arriving/0/id"};
+    cr_assert(paths == expected);
+    cr_assert_eq(faults_of(R"({"name": "m"})").size(), 1);
+}
+
+Test(move_text, leases_are_read_as_they_were_printed)
+{
+    const move::lease lease{core::instance_id("i-1"), 7};
+    cr_assert(platform::parse_lease(platform::print_lease(lease)) == lease);
+    cr_assert_not(platform::parse_lease("{}").has_value());
+    cr_assert_not(platform::parse_lease("x").has_value());
+}
+
+Test(move_text, reference_page_holds_what_the_parser_takes)
+{
+    const char* source = std::getenv("ORIOLEFALL_SOURCE");
+    cr_assert_not_null(source);
+    std::ifstream file(std::string(source) + "/docs/SETTINGS.md");
+    std::stringstream page;
+    page << file.rdbuf();
+    const std::string table =
+        settings::print_reference(platform::describe_move());
+    cr_assert_neq(page.str().find("\n\n" + table), std::string::npos,
+                  "docs/SETTINGS.md does not hold:\n%s", table.c_str());
+}
