Decide placement, admission, retries and endings; replay traces

The decider took the first server that answers. It now holds three tiers with a minimum share for each class, start-time fair queueing among workspaces, admission from learned output lengths and observed service times, a choice of a few random servers and the home of the prompt head, limits by AIMD, ejection of stragglers, a retry budget, resumed streams, and claims for requests that run at most once. oriolefall-bench replay runs a trace through it, or through a simple baseline, in virtual time; make-traces writes the traces under traces/.

--- a/oriolefall/decision/action.hpp
+++ b/oriolefall/decision/action.hpp
@@ -85,10 +85,10 @@
 
 struct decision_noted
 {
-    core::request_id request;
+    core::request_id request = {};
     step_kind kind = step_kind::queued;
     /// Server concerned; empty where there is none.
-    core::backend_server_id server;
+    core::backend_server_id server = {};
     /// Cause of a retry or refusal; of no meaning for `queued` and `placed`.
     core::reason cause = core::reason::queue_full;
     /// Score of the choice, lower is better; 0 where there is none.
--- /dev/null
+++ b/oriolefall/decision/class_table.hpp
@@ -0,0 +1,69 @@
+#ifndef ORIOLEFALL_DECISION_CLASS_TABLE_HPP
+#define ORIOLEFALL_DECISION_CLASS_TABLE_HPP
+
+#include "oriolefall/core/request.hpp"
+#include "oriolefall/core/service_class.hpp"
+#include "oriolefall/decision/length_distribution.hpp"
+#include "oriolefall/decision/moving_average.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace oriolefall::decision {
+
+/// A class and what its requests have shown so far.
+struct class_record
+{
+    core::service_class settings;
+    /// False: the settings in force no longer name it.
+    bool in_force = true;
+    length_distribution lengths;
+    /// Seconds from the start of a call to its first token, or to the answer
+    /// of a plain service.
+    moving_average first_byte{0.05};
+    /// Seconds from one token to the next.
+    moving_average between{0.005};
+    /// Requests and bytes that wait.
+    std::size_t waiting = 0;
+    std::size_t waiting_bytes = 0;
+
+    /// Expected server time of a request, in seconds.
+    [[nodiscard]] double expected_hold(const core::request& request) const;
+    /// The same for a long answer, at `quantile` of the learned lengths.
+    [[nodiscard]] double long_hold(const core::request& request,
+                                   double quantile) const;
+    /// Longest wait before the first call that still meets the target.
+    [[nodiscard]] absl::Duration allowed_wait(const core::request& request,
+                                              double quantile) const;
+};
+
+/// The classes by index; an index stays while the process lives.
+class class_table
+{
+public:
+    void apply(const std::vector<core::service_class>& classes);
+    /// A class that is in force.
+    [[nodiscard]] std::optional<std::uint32_t>
+    find(const core::class_name& name) const;
+    [[nodiscard]] class_record& at(std::uint32_t index)
+    {
+        return records_[index];
+    }
+    [[nodiscard]] const class_record& at(std::uint32_t index) const
+    {
+        return records_[index];
+    }
+
+private:
+    std::vector<class_record> records_;
+    absl::flat_hash_map<core::class_name, std::uint32_t> indices_;
+};
+
+} // namespace oriolefall::decision
+
+#endif
--- /dev/null
+++ b/oriolefall/decision/length_distribution.hpp
@@ -0,0 +1,37 @@
+#ifndef ORIOLEFALL_DECISION_LENGTH_DISTRIBUTION_HPP
+#define ORIOLEFALL_DECISION_LENGTH_DISTRIBUTION_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace oriolefall::decision {
+
+/// Learned distribution of output lengths in tokens: a histogram with four
+/// buckets to each doubling, in which older samples fade.
+class length_distribution
+{
+public:
+    length_distribution();
+
+    void add(std::uint64_t tokens);
+    /// Mean length, in tokens.
+    [[nodiscard]] double mean() const;
+    /// Upper end of the bucket that holds quantile `part` (0 to 1).
+    [[nodiscard]] double quantile(double part) const;
+
+private:
+    static constexpr std::size_t bucket_count = 72;
+
+    void rescale();
+
+    std::array<double, bucket_count> weights_{};
+    double total_ = 0.0;
+    double weighted_tokens_ = 0.0;
+    /// Weight of the next sample; it grows, so that older ones count less.
+    double next_weight_ = 1.0;
+};
+
+} // namespace oriolefall::decision
+
+#endif
--- /dev/null
+++ b/oriolefall/decision/prefix_affinity.hpp
@@ -0,0 +1,70 @@
+#ifndef ORIOLEFALL_DECISION_PREFIX_AFFINITY_HPP
+#define ORIOLEFALL_DECISION_PREFIX_AFFINITY_HPP
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace oriolefall::decision {
+
+/// Mixes two hashes into one.
+[[nodiscard]] std::uint64_t mix_hash(std::uint64_t left, std::uint64_t right);
+
+/// Remembers which servers were sent which prompt heads, in a table of fixed
+/// size: a newer entry takes the place of an older one.
+class prefix_memory
+{
+public:
+    /// `entries` is rounded up to a power of two.
+    explicit prefix_memory(std::size_t entries);
+
+    void remember(std::uint64_t prefix, std::uint64_t server, absl::Time now);
+    /// True when `server` was sent `prefix` within `lifetime`.
+    [[nodiscard]] bool holds(std::uint64_t prefix, std::uint64_t server,
+                             absl::Time now, absl::Duration lifetime) const;
+
+private:
+    struct entry
+    {
+        std::uint64_t tag = 0;
+        absl::Time at = absl::InfinitePast();
+    };
+
+    std::vector<entry> entries_;
+    std::uint64_t mask_;
+};
+
+/// Gives each prompt head a home server by rendezvous hashing (Thaler and
+/// Ravishankar, 1998) on two levels, so that a choice among n servers takes
+/// the order of sqrt(n) steps and few heads move when a server comes or goes.
+class rendezvous_index
+{
+public:
+    void clear();
+    void add(std::uint32_t server, std::uint64_t server_hash);
+    [[nodiscard]] std::optional<std::uint32_t> home(std::uint64_t prefix) const;
+
+private:
+    static constexpr std::size_t cluster_count = 64;
+
+    struct member
+    {
+        std::uint32_t server;
+        std::uint64_t hash;
+    };
+    struct cluster
+    {
+        std::uint64_t hash;
+        std::vector<member> members;
+    };
+
+    /// Clusters that have members.
+    std::vector<cluster> clusters_;
+};
+
+} // namespace oriolefall::decision
+
+#endif
--- /dev/null
+++ b/oriolefall/decision/route_queue.hpp
@@ -0,0 +1,95 @@
+#ifndef ORIOLEFALL_DECISION_ROUTE_QUEUE_HPP
+#define ORIOLEFALL_DECISION_ROUTE_QUEUE_HPP
+
+#include "oriolefall/core/tier.hpp"
+#include "oriolefall/decision/fair_queue.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace oriolefall::decision {
+
+/// A class as its queue sees it.
+struct queue_class
+{
+    std::uint32_t index = 0;
+    core::tier tier = core::tier::standard;
+    /// Part of the server time kept for it, above 0.
+    double minimum_share = 0.02;
+    auto operator<=>(const queue_class&) const = default;
+};
+
+/// What waits for one model or plain service: three tiers, the higher ones
+/// strictly ahead, but for the minimum share of each class. Shares are kept
+/// by deficit counters (Shreedhar and Varghese, 1995) that grow with what
+/// others are served, and faster the longer a class waits.
+class route_queue
+{
+public:
+    void push(const queue_class& owner, const core::workspace_id& workspace,
+              const waiting_request& item);
+    void erase(core::tier tier, const core::workspace_id& workspace,
+               const waiting_request& item);
+    /// Takes a request to be served and settles the classes' shares.
+    void pop(core::tier tier, const core::workspace_id& workspace,
+             const waiting_request& item, absl::Time now);
+
+    /// A broken stream waits to go on. It is served before the others of its
+    /// tier and is no longer charged to its workspace.
+    void push_resuming(const queue_class& owner, const waiting_request& item);
+    void erase_resuming(core::tier tier, const waiting_request& item);
+    void pop_resuming(core::tier tier, const waiting_request& item,
+                      absl::Time now);
+
+    /// Next request of a tier that is not a broken stream.
+    [[nodiscard]] std::optional<waiting_request> peek(core::tier tier) const;
+    /// Next broken stream of a tier; of one class only, if given.
+    [[nodiscard]] std::optional<waiting_request>
+    peek_resuming(core::tier tier,
+                  std::optional<std::uint32_t> class_index = {}) const;
+    /// Next request of a class that lags behind its minimum share.
+    [[nodiscard]] std::optional<waiting_request> peek_lagging() const;
+    /// Latest time at which one of a tier that was pushed is still in time.
+    [[nodiscard]] absl::Time latest_due(core::tier tier) const
+    {
+        return latest_due_[static_cast<std::size_t>(tier)];
+    }
+
+    [[nodiscard]] const fair_queue& of(core::tier tier) const
+    {
+        return tiers_[static_cast<std::size_t>(tier)];
+    }
+    [[nodiscard]] fair_queue& of(core::tier tier)
+    {
+        return tiers_[static_cast<std::size_t>(tier)];
+    }
+    [[nodiscard]] bool empty() const;
+
+private:
+    struct share
+    {
+        queue_class owner;
+        std::size_t waiting = 0;
+        /// Server time owed to the class, in seconds.
+        double owed = 0.0;
+        absl::Time waits_since = absl::InfiniteFuture();
+    };
+
+    share* find_share(std::uint32_t class_index, core::tier tier);
+    void start_waiting(const queue_class& owner);
+    void stop_waiting(std::uint32_t class_index, core::tier tier);
+    [[nodiscard]] std::optional<waiting_request>
+    next_of(const share& lagging) const;
+    void settle(std::uint32_t served_class, double cost, absl::Time now);
+
+    std::array<fair_queue, core::tier_count> tiers_;
+    std::array<absl::btree_set<waiting_request>, core::tier_count> resuming_;
+    std::array<absl::Time, core::tier_count> latest_due_{};
+    std::vector<share> shares_;
+};
+
+} // namespace oriolefall::decision
+
+#endif
--- /dev/null
+++ b/oriolefall/decision/server_table.hpp
@@ -0,0 +1,188 @@
+#ifndef ORIOLEFALL_DECISION_SERVER_TABLE_HPP
+#define ORIOLEFALL_DECISION_SERVER_TABLE_HPP
+
+#include "oriolefall/core/backend_server.hpp"
+#include "oriolefall/core/request.hpp"
+#include "oriolefall/decision/concurrency_limit.hpp"
+#include "oriolefall/decision/decider_settings.hpp"
+#include "oriolefall/decision/load_view.hpp"
+#include "oriolefall/decision/prefix_affinity.hpp"
+#include "oriolefall/decision/server_health.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolefall::decision {
+
+using server_index = std::uint32_t;
+using route_index = std::uint32_t;
+
+/// One backend server and what this instance knows of it.
+struct server_state
+{
+    core::backend_server server;
+    std::uint64_t hash = 0;
+    /// False: the settings in force no longer name it.
+    bool present = false;
+    /// In the region of this instance.
+    bool near = false;
+    std::uint32_t in_flight = 0;
+    concurrency_limit limit;
+    server_health health;
+    load_view load = {};
+    absl::Time refused_until = absl::InfinitePast();
+    /// Slots, and free ones, that its routes count for it at present.
+    std::uint32_t counted_slots = 0;
+    std::uint32_t counted_free = 0;
+    std::vector<route_index> routes = {};
+};
+
+/// Servers with a free slot, drawn from at random.
+class server_pool
+{
+public:
+    void insert(server_index server);
+    void erase(server_index server);
+    void clear();
+    [[nodiscard]] bool contains(server_index server) const
+    {
+        return places_.contains(server);
+    }
+    [[nodiscard]] const std::vector<server_index>& servers() const
+    {
+        return servers_;
+    }
+
+private:
+    std::vector<server_index> servers_;
+    absl::flat_hash_map<server_index, std::uint32_t> places_;
+};
+
+/// Sums over the servers of a route that can be used, near or far.
+struct capacity
+{
+    std::uint32_t slots = 0;
+    std::uint32_t free_slots = 0;
+    /// Calls at them, those at leaving servers included.
+    std::uint32_t in_flight = 0;
+    auto operator<=>(const capacity&) const = default;
+};
+
+/// Both together.
+[[nodiscard]] inline capacity operator+(const capacity& left,
+                                        const capacity& right)
+{
+    return capacity{left.slots + right.slots,
+                    left.free_slots + right.free_slots,
+                    left.in_flight + right.in_flight};
+}
+
+/// The servers that answer one model or one class of a plain service.
+struct route
+{
+    /// Servers that stay: in the settings and not leaving.
+    std::uint32_t servers = 0;
+    std::uint32_t ejected = 0;
+    /// True: no server stands in the region of this instance, so all count
+    /// as near.
+    bool all_far = false;
+    server_pool near_free;
+    server_pool far_free;
+    /// Those of both that continue broken streams.
+    server_pool near_resuming;
+    server_pool far_resuming;
+    /// Servers that continue broken streams, free or not.
+    std::uint32_t resuming_servers = 0;
+    /// Homes of prompt heads among the near servers.
+    rendezvous_index homes;
+    capacity near;
+    capacity far;
+    /// Routes that share a server with this one have the same group.
+    std::uint32_t group = 0;
+};
+
+/// All backend servers, indexed by what they answer, so that no event needs
+/// to look at all of them.
+class server_table
+{
+public:
+    explicit server_table(const decider_settings& settings);
+
+    /// Takes the servers of new settings; takes time in their number.
+    void apply(const std::vector<core::backend_server>& servers,
+               absl::Time now);
+
+    [[nodiscard]] std::optional<server_index>
+    find(const core::backend_server_id& id) const;
+    /// The route of a request; nothing when no server ever answered it.
+    [[nodiscard]] std::optional<route_index>
+    find_route(const core::request& request) const;
+
+    [[nodiscard]] server_state& at(server_index server)
+    {
+        return servers_[server];
+    }
+    [[nodiscard]] const server_state& at(server_index server) const
+    {
+        return servers_[server];
+    }
+    [[nodiscard]] const route& route_at(route_index index) const
+    {
+        return routes_[index];
+    }
+    [[nodiscard]] std::size_t routes() const
+    {
+        return routes_.size();
+    }
+    [[nodiscard]] const std::vector<route_index>&
+    group_of(route_index index) const
+    {
+        return groups_[routes_[index].group];
+    }
+
+    void call_started(server_index server, absl::Time now);
+    void call_ended(server_index server, absl::Time now);
+    /// Brings the routes up to date after `server` has changed.
+    void refresh(server_index server, absl::Time now);
+    /// Ejects an outlier unless too many are out; true when it did.
+    bool try_eject(server_index server, absl::Time now);
+    /// Ends an ejection that is over; true when it did.
+    bool try_probe(server_index server, absl::Time now);
+
+private:
+    void take_server(const core::backend_server& server);
+    void rebuild_routes(absl::Time now);
+    void add_to_routes(server_index server);
+    void build_groups();
+    void count(server_index server, std::uint32_t slots);
+    [[nodiscard]] capacity& capacity_for(route& of,
+                                         const server_state& state) const
+    {
+        return counts_as_near(of, state) ? of.near : of.far;
+    }
+    void set_free(route& of, server_index server, bool is_free);
+    [[nodiscard]] bool usable(const server_state& state, absl::Time now) const;
+    [[nodiscard]] std::uint32_t limit_of(const server_state& state) const;
+    [[nodiscard]] bool counts_as_near(const route& of,
+                                      const server_state& state) const
+    {
+        return state.near || of.all_far;
+    }
+
+    decider_settings settings_;
+    std::vector<server_state> servers_;
+    absl::flat_hash_map<core::backend_server_id, server_index> indices_;
+    std::vector<route> routes_;
+    absl::flat_hash_map<std::string, route_index> route_indices_;
+    std::vector<std::vector<route_index>> groups_;
+};
+
+} // namespace oriolefall::decision
+
+#endif
--- a/programs/bench/main.cpp
+++ b/programs/bench/main.cpp
@@ -28,6 +28,12 @@
          bench::check_trace_command},
         {"load", "--entry HOST:PORT --trace FILE: replays a trace live",
          bench::load_command},
+        {"replay",
+         "FILE [--policy NAME]... [--seeds N]: replays a trace through the "
+         "decisions",
+         bench::replay_command},
+        {"make-traces", "DIR: writes the generated traces into DIR",
+         bench::make_traces_command},
     };
 }
 
