Serve callers' connections with bounds of our own

Cause: the HTTP library's listener cuts streamed answers when it is stopped, polls idle connections every few milliseconds, leaves connections beyond its pool without an answer, and bounds neither headers nor chunked bodies. Its regular expressions overflow a small stack: a Range header of 8000 bytes ended the process with a stack of 2 MiB (trial), a path of 1000 bytes with 512 KiB. Change: an accepting thread and a pool of workers joined by a bounded ring, started as connections come; the library parses and routes only. The head of a request is read whole and bounded before the library sees it, without Range and Content-Encoding; body, time and path are bounded. Beyond max_connections reserved workers answer operators' paths and refuse the rest as connection_limit. A caller that leaves is told while nothing flows, streamed or not. stop lets open streams end whole.

--- a/oriolefall/front/chat_answer.cpp
+++ b/oriolefall/front/chat_answer.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr const char* event_stream_type = "text/event-stream";
-/// Nobody reads this status; it is seen in logs only.
-constexpr int caller_gone_status = 499;
 
 bool write_text(httplib::DataSink& sink, const std::string& text)
 {
--- a/oriolefall/front/http_reply.cpp
+++ b/oriolefall/front/http_reply.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/front/http_reply.hpp"
 
+#include "oriolefall/core/concat.hpp"
+
 #include <httplib.h>
 
 namespace oriolefall::front {
@@ -13,4 +15,17 @@
                             std::to_string(*reply.retry_after_seconds));
 }
 
+std::string closing_reply(const error_reply& reply)
+{
+    const std::string retry_after =
+        reply.retry_after_seconds
+            ? core::concat("Retry-After: ", *reply.retry_after_seconds, "\r\n")
+            : "";
+    return core::concat("HTTP/1.1 ", reply.status, " ",
+                        "\r\nConnection: close\r\nContent-Type: ", json_type,
+                        "\r\n", retry_after,
+                        "Content-Length: ", reply.body.size(), "\r\n\r\n",
+                        reply.body);
+}
+
 } // namespace oriolefall::front
--- a/oriolefall/front/routes.cpp
+++ b/oriolefall/front/routes.cpp
@@ -10,7 +10,9 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <array>
 #include <httplib.h>
+#include <string_view>
 #include <utility>
 
 namespace oriolefall::front {
@@ -28,6 +30,20 @@
 /// Longest name of a workspace, class or key, in bytes.
 constexpr std::size_t max_name_bytes = 256;
 
+bool is_operator_path(std::string_view path)
+{
+    constexpr std::array<std::string_view, 4> whole{"/metrics", "/healthz",
+                                                    "/readyz", "/v1/status"};
+    return std::ranges::find(whole, path) != whole.end() ||
+           path.starts_with("/v1/explain/");
+}
+
+/// The hook that a worker set for the connection of this request.
+presence_hook presence_of(const httplib::Request& request)
+{
+    return [&request] { return request.progress(0, 0); };
+}
+
 std::optional<core::idempotency_key> key_of(const httplib::Request& request)
 {
     const std::string value = request.get_header_value(key_header);
@@ -85,14 +101,43 @@
     http.Get("/v1/entry", [this](const Request& request, Response& response) {
         answer_entry(request, response);
     });
-    http.set_error_handler([](const Request&, Response& response) {
-        if (!response.body.empty())
+    install_error_handler(http);
+    install_operator_paths(http);
+}
+
+void routes::install_overflow(httplib::Server& http) const
+{
+    using httplib::Request;
+    using httplib::Response;
+    using handled = httplib::Server::HandlerResponse;
+    install_error_handler(http);
+    install_operator_paths(http);
+    http.set_pre_routing_handler(
+        [this](const Request& request, Response& response) {
+            if (is_operator_path(request.path))
+                return handled::Unhandled;
+            refuse({core::reason::connection_limit, {}}, response);
+            return handled::Handled;
+        });
+}
+
+error_reply routes::refuse_early(core::reason reason) const
+{
+    handlers_.refused(reason);
+    return make_refusal(reason);
+}
+
+void routes::install_error_handler(httplib::Server& http) const
+{
+    using httplib::Request;
+    using httplib::Response;
+    http.set_error_handler([this](const Request&, Response& response) {
+        if (!response.body.empty() || response.status == caller_gone_status)
             return;
         const int status = response.status;
-        set_reply(make_refusal(core::reason::invalid_request), response);
+        set_reply(refuse_early(core::reason::invalid_request), response);
         response.status = status;
     });
-    install_operator_paths(http);
 }
 
 void routes::install_operator_paths(httplib::Server& http) const
@@ -137,7 +182,7 @@
     auto& reader = std::get<answer_reader>(submitted);
     chat_heading heading{accepted.id, chat.model,
                          absl::ToUnixSeconds(absl::Now())};
-    const presence_hook here = [] { return true; };
+    const presence_hook here = presence_of(request);
     if (chat.stream)
         answer_with_events(std::move(reader), std::move(heading), here,
                            response);
@@ -163,9 +208,8 @@
     auto submitted = submit(accepted, std::move(payload));
     if (const auto* refused = std::get_if<refusal>(&submitted))
         return refuse(*refused, response);
-    answer_with_body(
-        std::move(std::get<answer_reader>(submitted)), [] { return true; },
-        response);
+    answer_with_body(std::move(std::get<answer_reader>(submitted)),
+                     presence_of(request), response);
 }
 
 void routes::answer_entry(const httplib::Request& request,
--- a/oriolefall/front/routes.hpp
+++ b/oriolefall/front/routes.hpp
@@ -3,6 +3,7 @@
 
 #include "oriolefall/front/answer_reader.hpp"
 #include "oriolefall/front/chat_request.hpp"
+#include "oriolefall/front/error_reply.hpp"
 #include "oriolefall/front/front_settings.hpp"
 #include "oriolefall/front/handlers.hpp"
 #include "oriolefall/front/refusal.hpp"
@@ -27,8 +28,14 @@
 
     /// Registers all paths at `http`, which must not outlive this object.
     void install(httplib::Server& http) const;
+    /// Registers operators' paths only; all others are refused.
+    void install_overflow(httplib::Server& http) const;
+    /// Counts a refusal that is made before there is a request to answer;
+    /// the answer to it.
+    [[nodiscard]] error_reply refuse_early(core::reason reason) const;
 
 private:
+    void install_error_handler(httplib::Server& http) const;
     void install_operator_paths(httplib::Server& http) const;
     void answer_chat(const httplib::Request& request,
                      httplib::Response& response) const;
--- a/oriolefall/front/server.cpp
+++ b/oriolefall/front/server.cpp
@@ -1,21 +1,29 @@
 #include "oriolefall/front/server.hpp"
 
+#include "oriolefall/front/connection.hpp"
+#include "oriolefall/front/http_protocol.hpp"
+#include "oriolefall/front/http_reply.hpp"
 #include "oriolefall/front/routes.hpp"
 
-#include <future>
-#include <httplib.h>
 #include <utility>
 
 namespace oriolefall::front {
 
+namespace {
+constexpr int request_timed_out = 408;
+constexpr int header_too_large = 431;
+} // namespace
+
 server::server(front_settings settings, handlers handlers)
     : settings_(std::move(settings)),
       routes_(std::make_unique<routes>(settings_, std::move(handlers))),
-      http_(std::make_unique<httplib::Server>())
+      protocol_(std::make_unique<http_protocol>(settings_)),
+      overflow_protocol_(std::make_unique<http_protocol>(settings_)),
+      pool_(settings_.max_connections, settings_.reserved_connections,
+            [this](accepted_socket accepted) { serve(accepted); })
 {
-    routes_->install(*http_);
-    http_->set_payload_max_length(settings_.max_body_bytes);
-    http_->set_tcp_nodelay(true);
+    routes_->install(*protocol_);
+    routes_->install_overflow(*overflow_protocol_);
 }
 
 server::~server()
@@ -25,26 +33,11 @@
 
 bool server::start()
 {
-    const core::endpoint& listen = settings_.listen;
-    if (listen.port == 0) {
-        const int bound = http_->bind_to_any_port(listen.address);
-        if (bound <= 0)
-            return false;
-        port_ = static_cast<std::uint16_t>(bound);
-    } else {
-        if (!http_->bind_to_port(listen.address, listen.port))
-            return false;
-        port_ = listen.port;
-    }
-    // The library asks for its workers once it has begun to listen; a stop
-    // before that would have no effect.
-    std::promise<void> listening;
-    http_->new_task_queue = [this, &listening] {
-        listening.set_value();
-        return new httplib::ThreadPool(settings_.max_connections);
-    };
-    listener_ = std::thread([this] { http_->listen_after_bind(); });
-    listening.get_future().wait();
+    socket_ = listen_socket::bind(settings_.listen);
+    if (!socket_)
+        return false;
+    port_ = socket_->port();
+    acceptor_.emplace("accept", [this] { accept_connections(); });
     return true;
 }
 
@@ -55,9 +48,54 @@
 
 void server::stop()
 {
-    http_->stop();
-    if (listener_.joinable())
-        listener_.join();
+    stop_.raise();
+    acceptor_.reset();
+    pool_.finish();
+}
+
+void server::accept_connections()
+{
+    while (const auto descriptor = socket_->accept(stop_)) {
+        if (!pool_.submit(*descriptor))
+            turn_away(*descriptor);
+    }
+    socket_.reset();
+}
+
+void server::serve(accepted_socket accepted)
+{
+    const bool overflow = accepted.kind == connection_kind::overflow;
+    http_protocol& protocol = overflow ? *overflow_protocol_ : *protocol_;
+    const absl::Duration idle =
+        overflow ? settings_.overflow_idle_timeout : settings_.idle_timeout;
+    connection caller(accepted.descriptor, settings_);
+    if (overflow)
+        caller.drop_rest_at_close();
+    for (;;) {
+        const request_start start = caller.await_request(idle, stop_);
+        if (start != request_start::ready)
+            return refuse_head(start, caller);
+        const bool last = overflow || stop_.raised();
+        if (!protocol.serve_one(caller, last))
+            return;
+    }
+}
+
+void server::refuse_head(request_start start, connection& caller) const
+{
+    if (start == request_start::none)
+        return;
+    error_reply reply = routes_->refuse_early(core::reason::invalid_request);
+    reply.status = start == request_start::too_large ? header_too_large
+                                                     : request_timed_out;
+    caller.write_closing(closing_reply(reply));
+}
+
+void server::turn_away(int descriptor)
+{
+    connection caller(descriptor, settings_);
+    caller.write_closing(
+        closing_reply(routes_->refuse_early(core::reason::connection_limit)));
 }
 
 } // namespace oriolefall::front
--- a/tests/front/fake_instance.hpp
+++ b/tests/front/fake_instance.hpp
@@ -32,6 +32,10 @@
         return server_.port();
     }
 
+    void stop()
+    {
+        server_.stop();
+    }
     /// Blocks until the front has told that a caller left; its request.
     [[nodiscard]] core::request_id wait_for_caller_gone();
     /// Times that the front refused a request for this reason.
--- /dev/null
+++ b/tests/front/limits_test.cpp
@@ -0,0 +1,271 @@
+#include "tests/front/fake_instance.hpp"
+#include "tests/front/raw_caller.hpp"
+
+#include <chrono>
+#include <httplib.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using nlohmann::json;
+using tests::fake_instance;
+using tests::raw_caller;
+
+namespace {
+
+constexpr std::size_t ten_megabytes = 10UL * 1000 * 1000;
+
+std::optional<core::reason> say_hello(const front::submission& submission)
+{
+    tests::answer_whole(submission.answers, {"hello"});
+    return std::nullopt;
+}
+
+httplib::Result post_chat(const fake_instance& instance,
+                          const std::string& body,
+                          const httplib::Headers& more = {})
+{
+    httplib::Headers headers = more;
+    headers.emplace("X-Workspace", "almaty");
+    headers.emplace("X-Service-Class", "rules");
+    httplib::Client client("127.0.0.1", instance.port());
+    return client.Post("/v1/chat/completions", headers, body,
+                       "application/json");
+}
+
+int get_status(const fake_instance& instance, const std::string& path)
+{
+    httplib::Client client("127.0.0.1", instance.port());
+    const auto result = client.Get(path);
+    return result ? result->status : 0;
+}
+
+void expect_alive(const fake_instance& instance)
+{
+    const auto result = post_chat(instance, tests::chat_body("hi", true));
+    cr_assert(result);
+    cr_assert_eq(result->status, 200);
+    cr_assert(result->body.ends_with("data: [DONE]\n\n"));
+}
+
+bool is_client_error(const std::string& response)
+{
+    return response.starts_with("HTTP/1.1 4");
+}
+
+} // namespace
+
+Test(limits, ten_megabyte_header_is_4xx_with_a_json_error)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(instance, tests::chat_body("hi", true),
+                                  {{"X-Big", std::string(ten_megabytes, 'x')}});
+    cr_assert(result);
+    cr_assert_geq(result->status, 400);
+    cr_assert_lt(result->status, 500);
+    cr_assert(json::parse(result->body).contains("error"));
+    cr_assert_eq(instance.refusals(core::reason::invalid_request), 1);
+    expect_alive(instance);
+}
+
+Test(limits, ten_megabytes_of_many_headers_are_4xx)
+{
+    fake_instance instance(say_hello);
+    raw_caller caller(instance.port());
+    caller.send("GET /healthz HTTP/1.1\r\n");
+    std::string many;
+    while (many.size() < ten_megabytes)
+        many += "X-Small: 0123456789\r\n";
+    caller.send(many);
+    cr_assert(is_client_error(caller.read_all()));
+    expect_alive(instance);
+}
+
+Test(limits, ten_megabyte_path_is_4xx)
+{
+    fake_instance instance(say_hello);
+    raw_caller caller(instance.port());
+    caller.send("GET /" + std::string(ten_megabytes, 'x'));
+    cr_assert(is_client_error(caller.read_all()));
+    expect_alive(instance);
+}
+
+Test(limits, text_that_would_exhaust_the_stack_is_harmless)
+{
+    fake_instance instance(say_hello);
+    httplib::Client poster("127.0.0.1", instance.port());
+    for (const std::size_t length : {240UL, 8000UL}) {
+        const std::string path =
+            "/v1/services/none/" + std::string(length - 18, 'x');
+        cr_assert_eq(poster.Post(path)->status, length == 240 ? 401 : 404);
+    }
+    std::string ranges = "bytes=1-1";
+    while (ranges.size() < 8000)
+        ranges += ",1-1";
+    raw_caller caller(instance.port());
+    caller.send("GET /healthz HTTP/1.1\r\nConnection: close\r\nRange: " +
+                ranges + "\r\n\r\n");
+    cr_assert(caller.read_all().starts_with("HTTP/1.1 "));
+    const std::string disposition =
+        "--b\r\nContent-Disposition: form-data; " + std::string(500000, 'x');
+    httplib::Client client("127.0.0.1", instance.port());
+    const auto result = client.Post("/v1/chat/completions", disposition,
+                                    "multipart/form-data; boundary=b");
+    cr_assert_eq(result->status, 400);
+    expect_alive(instance);
+}
+
+Test(limits, too_large_body_is_413)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(
+        instance, tests::chat_body(std::string(2UL << 20, 'x'), false));
+    cr_assert(result);
+    cr_assert_eq(result->status, 413);
+    cr_assert(json::parse(result->body).contains("error"));
+    expect_alive(instance);
+}
+
+Test(limits, too_large_chunked_body_is_4xx)
+{
+    fake_instance instance(say_hello);
+    raw_caller caller(instance.port());
+    caller.send("POST /v1/chat/completions HTTP/1.1\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    for (int i = 0; i < 100; ++i)
+        caller.send(chunk);
+    cr_assert(is_client_error(caller.read_all()));
+    expect_alive(instance);
+}
+
+Test(limits, compressed_body_is_not_inflated)
+{
+    fake_instance instance(say_hello);
+    const auto result = post_chat(instance, std::string(1000, '\0'),
+                                  {{"Content-Encoding", "gzip"}});
+    cr_assert_eq(result->status, 400);
+}
+
+Test(limits, post_without_length_does_not_wait_for_a_body)
+{
+    fake_instance instance(say_hello);
+    raw_caller caller(instance.port());
+    caller.send("POST /v1/chat/completions HTTP/1.1\r\n"
+                "Connection: close\r\n\r\n");
+    cr_assert(is_client_error(caller.read_all()));
+}
+
+Test(limits, half_a_request_ends_at_its_time_limit)
+{
+    front::front_settings settings;
+    settings.request_timeout = absl::Milliseconds(50);
+    fake_instance instance(say_hello, settings);
+    raw_caller caller(instance.port());
+    caller.send("POST /v1/chat/completions HTTP/1.1\r\nContent-Le");
+    cr_assert(is_client_error(caller.read_all()));
+    expect_alive(instance);
+}
+
+Test(limits, idle_connection_is_closed)
+{
+    front::front_settings settings;
+    settings.idle_timeout = absl::Milliseconds(20);
+    fake_instance instance(say_hello, settings);
+    raw_caller caller(instance.port());
+    cr_assert(caller.read_all().empty());
+}
+
+Test(limits, one_connection_carries_several_requests)
+{
+    fake_instance instance(say_hello);
+    raw_caller caller(instance.port());
+    const std::string request = "GET /healthz HTTP/1.1\r\n\r\n";
+    caller.send(request + request +
+                "GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string all = caller.read_all();
+    std::size_t count = 0;
+    for (std::size_t at = all.find("200 OK"); at != std::string::npos;
+         at = all.find("200 OK", at + 1))
+        ++count;
+    cr_assert_eq(count, 3);
+}
+
+Test(limits, beyond_the_connection_limit_only_health_and_metrics_answer)
+{
+    core::bounded_ring<front::submission> taken(4);
+    front::front_settings settings;
+    settings.max_connections = 2;
+    settings.reserved_connections = 2;
+    fake_instance instance(
+        [&taken](front::submission submission) -> std::optional<core::reason> {
+            taken.push(std::move(submission));
+            return std::nullopt;
+        },
+        settings);
+    const std::string bytes = tests::chat_bytes(tests::chat_body("hi", true));
+    raw_caller first(instance.port());
+    first.send(bytes);
+    raw_caller second(instance.port());
+    second.send(bytes);
+    const auto held = taken.pop();
+    const auto also_held = taken.pop();
+
+    const auto refused = post_chat(instance, tests::chat_body("hi", true));
+    cr_assert(refused);
+    cr_assert_eq(refused->status, 503);
+    cr_assert(refused->has_header("Retry-After"));
+    const json error = json::parse(refused->body).at("error");
+    cr_assert_eq(error.at("reason"), "connection_limit");
+    cr_assert_eq(error.at("verdict"), "not_run");
+    cr_assert_geq(instance.refusals(core::reason::connection_limit), 1);
+    cr_assert_eq(get_status(instance, "/healthz"), 200);
+    cr_assert_eq(get_status(instance, "/metrics"), 200);
+    cr_assert_eq(get_status(instance, "/v1/models"), 503);
+
+    tests::answer_whole(held->answers, {"a"});
+    tests::answer_whole(also_held->answers, {"b"});
+    cr_assert(first.read_until("[DONE]").find("[DONE]") != std::string::npos);
+}
+
+Test(limits, callers_beyond_all_workers_are_turned_away)
+{
+    core::bounded_ring<front::submission> taken(4);
+    front::front_settings settings;
+    settings.max_connections = 1;
+    settings.reserved_connections = 0;
+    fake_instance instance(
+        [&taken](front::submission submission) -> std::optional<core::reason> {
+            taken.push(std::move(submission));
+            return std::nullopt;
+        },
+        settings);
+    raw_caller first(instance.port());
+    first.send(tests::chat_bytes(tests::chat_body("hi", true)));
+    const auto held = taken.pop();
+    raw_caller second(instance.port());
+    const std::string told = second.read_all();
+    cr_assert(told.starts_with("HTTP/1.1 503 "), "%s", told.c_str());
+    cr_assert(told.find("connection_limit") != std::string::npos);
+    cr_assert_eq(instance.refusals(core::reason::connection_limit), 1);
+    tests::answer_whole(held->answers, {"a"});
+}
+
+Test(limits, places_are_free_again_when_callers_have_left)
+{
+    front::front_settings settings;
+    settings.max_connections = 1;
+    settings.reserved_connections = 0;
+    fake_instance instance(say_hello, settings);
+    int status = 0;
+    for (int served = 0; served < 5;) {
+        status = get_status(instance, "/healthz");
+        served += status == 200 ? 1 : 0;
+        // A worker may still be closing the connection before this one.
+        if (status != 200)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+}
