Spread moves as settings and make the routing table on one duty's thread

A leaving server must get no new work within seconds of acceptance, also while the platform, its watches or some peers are away. A move now stands in its team's subtree, so that it travels like all settings, and only its team may create it or ask to pause or abort it.

settings_duty owns the instance's copy of the tree: it takes what reader and peers tell, answers peers that fetch subtrees, and publishes a routing table with moves applied. replica compares versions of whole subtrees, as the inner protocol offers them. The reader gives its news to a hook.

--- a/oriolefall/move/move_object.hpp
+++ b/oriolefall/move/move_object.hpp
@@ -92,6 +92,8 @@
 struct move_object
 {
     core::move_name name;
+    /// Team that created it.
+    core::team_name team;
     std::vector<class_level> classes;
     std::vector<core::backend_server_id> leaving;
     std::vector<arriving_server> arriving;
--- a/oriolefall/platform/move_duty.cpp
+++ b/oriolefall/platform/move_duty.cpp
@@ -76,7 +76,8 @@
 
 void move_duty::read_move()
 {
-    const read_result result = store_.read(move_path(settings_.name));
+    const read_result result =
+        store_.read(move_path(settings_.team, settings_.name));
     const auto* object = std::get_if<stored_object>(&result);
     if (object == nullptr)
         return;
@@ -87,7 +88,8 @@
 
 void move_duty::read_lease()
 {
-    const read_result result = store_.read(move_lease_path(settings_.name));
+    const read_result result =
+        store_.read(move_lease_path(settings_.team, settings_.name));
     const auto* object = std::get_if<stored_object>(&result);
     if (object == nullptr)
         return;
@@ -110,17 +112,17 @@
 
 void move_duty::carry_out(const move::write_lease& action)
 {
-    const write_result result =
-        store_.put(move_lease_path(settings_.name), print_lease(action.lease),
-                   condition_for(action.expected_version));
+    const write_result result = store_.put(
+        move_lease_path(settings_.team, settings_.name),
+        print_lease(action.lease), condition_for(action.expected_version));
     step(move::lease_write_ended{version_of(result)});
 }
 
 void move_duty::carry_out(const move::store_move& action)
 {
-    const write_result result =
-        store_.put(move_path(settings_.name), print_move(action.object),
-                   condition_for(action.expected_version));
+    const write_result result = store_.put(
+        move_path(settings_.team, settings_.name), print_move(action.object),
+        condition_for(action.expected_version));
     step(move::move_write_ended{version_of(result)});
 }
 
--- a/oriolefall/platform/move_duty.hpp
+++ b/oriolefall/platform/move_duty.hpp
@@ -18,6 +18,7 @@
 /// Fixed for the life of a `move_duty`.
 struct move_duty_settings
 {
+    core::team_name team;
     core::move_name name;
     core::instance_id instance;
     move::mover_settings mover;
--- a/oriolefall/platform/move_store.cpp
+++ b/oriolefall/platform/move_store.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr const char* moves_root = "/moves/";
 /// Tries of a wish; a holder takes a step every few seconds at most.
 constexpr int wish_attempts = 5;
 
@@ -36,22 +35,29 @@
 
 } // namespace
 
-move_store::move_store(object_store store) : store_(std::move(store)) {}
+move_store::move_store(object_store store, std::vector<settings::team_key> keys)
+    : store_(std::move(store)), keys_(std::move(keys))
+{
+}
 
-move_write_result move_store::create(std::string_view text)
+move_write_result move_store::create(const settings::team_key& who,
+                                     std::string_view text)
 {
     auto parsed = parse_move(text);
     if (auto* faults = std::get_if<std::vector<core::settings_error>>(&parsed))
         return invalid_move{std::move(*faults)};
     auto& object = std::get<move::move_object>(parsed);
     reset(object);
-    return to_move_result(
-        store_.put(move_path(object.name), print_move(object), if_absent{}));
+    const std::string path = move_path(object.team, object.name);
+    if (const auto refusal = settings::check_team(who, path, keys_))
+        return team_refused{*refusal};
+    return to_move_result(store_.put(path, print_move(object), if_absent{}));
 }
 
-move_read_result move_store::show(const core::move_name& name)
+move_read_result move_store::show(const core::team_name& team,
+                                  const core::move_name& name)
 {
-    const read_result result = store_.read(move_path(name));
+    const read_result result = store_.read(move_path(team, name));
     if (const auto* failed = std::get_if<unavailable>(&result))
         return *failed;
     const auto* object = std::get_if<stored_object>(&result);
@@ -66,11 +72,13 @@
 
 move_list_result move_store::list()
 {
-    const list_result result = store_.list(moves_root);
+    const list_result result = store_.list(std::string(settings::tree_root));
     if (const auto* failed = std::get_if<unavailable>(&result))
         return *failed;
     std::vector<stored_move> moves;
     for (const stored_object& object : std::get<object_list>(result).objects) {
+        if (!settings::is_move_path(object.path))
+            continue;
         auto parsed = parse_move(object.value);
         if (auto* value = std::get_if<move::move_object>(&parsed))
             moves.push_back({std::move(*value), object.version});
@@ -78,12 +86,16 @@
     return moves;
 }
 
-move_write_result move_store::set_wish(const core::move_name& name,
+move_write_result move_store::set_wish(const settings::team_key& who,
+                                       const core::move_name& name,
                                        move::wish wish)
 {
+    const std::string path = move_path(who.team, name);
+    if (const auto refusal = settings::check_team(who, path, keys_))
+        return team_refused{*refusal};
     move_write_result last = not_found{};
     for (int attempt = 0; attempt < wish_attempts; ++attempt) {
-        move_read_result found = show(name);
+        move_read_result found = show(who.team, name);
         if (const auto* failed = std::get_if<unavailable>(&found))
             return *failed;
         if (auto* faulty = std::get_if<invalid_move>(&found))
@@ -94,8 +106,7 @@
         if (move::is_ended(stored->object))
             return move_ended{stored->object.phase};
         stored->object.wish = wish;
-        last = to_move_result(store_.put(move_path(name),
-                                         print_move(stored->object),
+        last = to_move_result(store_.put(path, print_move(stored->object),
                                          if_version{stored->version}));
         if (!std::holds_alternative<conflict>(last))
             return last;
--- a/oriolefall/platform/move_store.hpp
+++ b/oriolefall/platform/move_store.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/core/settings_error.hpp"
 #include "oriolefall/move/move_object.hpp"
 #include "oriolefall/platform/object_store.hpp"
+#include "oriolefall/settings/change.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -36,39 +37,52 @@
     auto operator<=>(const move_ended&) const = default;
 };
 
+/// The team may not write the move.
+struct team_refused
+{
+    settings::change_refusal reason = settings::change_refusal::wrong_key;
+    auto operator<=>(const team_refused&) const = default;
+};
+
 using move_read_result =
     std::variant<stored_move, not_found, invalid_move, unavailable>;
 using move_list_result = std::variant<std::vector<stored_move>, unavailable>;
 using move_write_result =
     std::variant<written, conflict, not_found, invalid_move, move_ended,
-                 unavailable, unknown_outcome>;
+                 team_refused, unavailable, unknown_outcome>;
 
 /// What `oriolefall move create|show|list|pause|resume|abort` does:
 ///
 ///     client calls(client_settings{...});
-///     move_store moves(calls.as_object_store());
-///     moves.create(text);
-///     moves.set_wish(core::move_name("weekend"), move::wish::pause);
+///     move_store moves(calls.as_object_store(), instance.team_keys);
+///     moves.create({team, key}, text);
+///     moves.set_wish({team, key}, core::move_name("weekend"),
+///                    move::wish::pause);
 ///
-/// One thread, which makes all calls of the store.
+/// It checks the teams' keys, so it runs in an instance. One thread, which
+/// makes all calls of the store.
 class move_store
 {
 public:
-    explicit move_store(object_store store);
+    move_store(object_store store, std::vector<settings::team_key> keys);
 
     /// Accepts a move: from here on its leaving servers get no new work.
     /// `conflict` when there is one of this name.
-    [[nodiscard]] move_write_result create(std::string_view text);
-    [[nodiscard]] move_read_result show(const core::move_name& name);
+    [[nodiscard]] move_write_result create(const settings::team_key& who,
+                                           std::string_view text);
+    [[nodiscard]] move_read_result show(const core::team_name& team,
+                                        const core::move_name& name);
     /// Moves whose text cannot be read are left out.
     [[nodiscard]] move_list_result list();
     /// Asks the holder to run, pause or abort; tries again when the holder
     /// took a step at the same moment.
-    [[nodiscard]] move_write_result set_wish(const core::move_name& name,
+    [[nodiscard]] move_write_result set_wish(const settings::team_key& who,
+                                             const core::move_name& name,
                                              move::wish wish);
 
 private:
     object_store store_;
+    std::vector<settings::team_key> keys_;
 };
 
 } // namespace oriolefall::platform
--- a/oriolefall/platform/move_text.cpp
+++ b/oriolefall/platform/move_text.cpp
@@ -3,6 +3,7 @@
 #include "oriolefall/core/concat.hpp"
 #include "oriolefall/settings/duplicates.hpp"
 #include "oriolefall/settings/object_reader.hpp"
+#include "oriolefall/settings/tree_object.hpp"
 
 #include <algorithm>
 #include <array>
@@ -97,6 +98,7 @@
 void read_move(object_reader& reader, move::move_object& into)
 {
     reader.read({"name", "Name of the move.", true}, into.name);
+    reader.read({"team", "Team that created it.", true}, into.team);
     reader.read_list({"classes", "Service levels during the move."},
                      into.classes, read_level);
     reader.read({"leaving", "Backend servers that get no new work."},
@@ -168,19 +170,22 @@
 
 } // namespace
 
-std::string move_path(const core::move_name& name)
+std::string move_path(const core::team_name& team, const core::move_name& name)
 {
-    return core::concat("/moves/", name.value());
+    return core::concat(settings::tree_root, team.value(), "/moves/",
+                        name.value());
 }
 
-std::string move_lease_path(const core::move_name& name)
+std::string move_lease_path(const core::team_name& team,
+                            const core::move_name& name)
 {
-    return core::concat("/leases/moves/", name.value());
+    return core::concat("/leases/", team.value(), "/moves/", name.value());
 }
 
 std::string print_move(const move::move_object& value)
 {
     const json text{{"name", value.name.value()},
+                    {"team", value.team.value()},
                     {"classes", print_list(value.classes, print_level)},
                     {"leaving", print_list(value.leaving,
                                            [](const auto& id) {
--- a/oriolefall/platform/move_text.hpp
+++ b/oriolefall/platform/move_text.hpp
@@ -14,9 +14,14 @@
 
 namespace oriolefall::platform {
 
-/// Where a move and its lease are kept.
-[[nodiscard]] std::string move_path(const core::move_name& name);
-[[nodiscard]] std::string move_lease_path(const core::move_name& name);
+/// Where a move is kept: in its team's subtree of the settings, so that it
+/// reaches every instance as settings do.
+[[nodiscard]] std::string move_path(const core::team_name& team,
+                                    const core::move_name& name);
+/// Where its lease is kept: outside the settings, which it would change every
+/// few seconds.
+[[nodiscard]] std::string move_lease_path(const core::team_name& team,
+                                          const core::move_name& name);
 
 /// JSON text of a move. Any thread.
 [[nodiscard]] std::string print_move(const move::move_object& value);
--- a/oriolefall/platform/reader.cpp
+++ b/oriolefall/platform/reader.cpp
@@ -17,9 +17,9 @@
 } // namespace
 
 reader::reader(reader_settings settings, object_store store,
-               std::function<void()> stop_store, store_news_ring& news)
+               std::function<void()> stop_store, store_news_hook news)
     : settings_(std::move(settings)), store_(std::move(store)),
-      stop_store_(std::move(stop_store)), news_(news),
+      stop_store_(std::move(stop_store)), news_(std::move(news)),
       thread_("platform-read", [this] { run(); })
 {
 }
@@ -27,7 +27,6 @@
 reader::~reader()
 {
     stop_.stop();
-    news_.close();
     stop_store_();
     thread_.join();
 }
@@ -58,7 +57,7 @@
     history_gone_ = false;
     listed_at_ = settings_.clock();
     failures_ = 0;
-    news_.push(std::move(list));
+    news_(std::move(list));
     return absl::ZeroDuration();
 }
 
@@ -72,7 +71,7 @@
         failures_ = 0;
         revision_ = std::max(*revision_, changes->revision);
         if (!changes->changes.empty())
-            news_.push(std::move(*changes));
+            news_(std::move(*changes));
         return absl::ZeroDuration();
     }
     if (std::holds_alternative<history_gone>(result)) {
@@ -86,7 +85,7 @@
 absl::Duration reader::on_failure(const unavailable& failed)
 {
     if (failures_ == 0)
-        news_.push(store_unreachable{failed.cause});
+        news_(store_unreachable{failed.cause});
     return failed.retry_after +
            backoff_delay(settings_.backoff, failures_++, settings_.random);
 }
--- a/oriolefall/platform/reader.hpp
+++ b/oriolefall/platform/reader.hpp
@@ -1,7 +1,6 @@
 #ifndef ORIOLEFALL_PLATFORM_READER_HPP
 #define ORIOLEFALL_PLATFORM_READER_HPP
 
-#include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/platform/backoff.hpp"
@@ -29,7 +28,8 @@
 /// What a `reader` learnt. A list replaces all that was known under the
 /// prefix, but may itself be stale: versions decide.
 using store_news = std::variant<object_list, object_changes, store_unreachable>;
-using store_news_ring = core::bounded_ring<store_news>;
+/// Takes news on the reader's thread; may block until there is room.
+using store_news_hook = std::function<void(store_news)>;
 
 /// Fixed for the life of a `reader`.
 struct reader_settings
@@ -55,12 +55,13 @@
 {
 public:
     /// `stop_store` ends a call of `store` that is under way; it is called
-    /// from the thread that destroys the reader. `news` must outlive it.
+    /// from the thread that destroys the reader. `news` must not block once
+    /// that has begun: close the ring behind it first.
     reader(reader_settings settings, object_store store,
-           std::function<void()> stop_store, store_news_ring& news);
+           std::function<void()> stop_store, store_news_hook news);
     reader(const reader&) = delete;
     reader& operator=(const reader&) = delete;
-    /// Stops and joins the thread, and closes the ring.
+    /// Stops and joins the thread.
     ~reader();
 
 private:
@@ -74,7 +75,7 @@
     reader_settings settings_;
     object_store store_;
     std::function<void()> stop_store_;
-    store_news_ring& news_;
+    store_news_hook news_;
     stop_signal stop_;
     /// Changes up to here were pushed; nothing: list first.
     std::optional<std::uint64_t> revision_;
--- /dev/null
+++ b/oriolefall/platform/settings_duty.cpp
@@ -0,0 +1,160 @@
+#include "oriolefall/platform/settings_duty.hpp"
+
+#include "oriolefall/move/apply.hpp"
+#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/platform/settings_store.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace oriolefall::platform {
+
+namespace {
+
+/// Moves in the tree, in the order of their paths; a text that cannot be read
+/// is a fault.
+std::vector<move::move_object>
+moves_in(const settings::replica& tree,
+         std::vector<settings::tree_fault>& faults)
+{
+    std::vector<move::move_object> moves;
+    for (const settings::tree_object& object : tree.objects()) {
+        if (!settings::is_move_path(object.path))
+            continue;
+        auto parsed = parse_move(object.value);
+        if (auto* value = std::get_if<move::move_object>(&parsed)) {
+            moves.push_back(std::move(*value));
+            continue;
+        }
+        for (auto& fault : std::get<std::vector<core::settings_error>>(parsed))
+            faults.push_back({object.path, std::move(fault)});
+    }
+    return moves;
+}
+
+void apply_moves(const std::vector<move::move_object>& moves,
+                 decision::routing_table& table)
+{
+    for (const move::move_object& some : moves) {
+        table.servers = move::apply_to_servers(some, std::move(table.servers));
+        table.classes = move::apply_to_classes(some, std::move(table.classes));
+    }
+}
+
+} // namespace
+
+settings_in_force make_settings_in_force(const settings::replica& tree)
+{
+    const auto objects = tree.objects();
+    settings::assembled whole = settings::assemble(objects);
+    decision::routing_table table =
+        settings::make_routing_table(whole.deployment, tree.changes());
+    apply_moves(moves_in(tree, whole.faults), table);
+    return {std::make_shared<const decision::routing_table>(std::move(table)),
+            tree.digest(), tree.team_versions(), std::move(whole.faults)};
+}
+
+settings_duty::settings_duty(std::size_t capacity, settings_duty_hooks hooks)
+    : hooks_(std::move(hooks)), events_(capacity),
+      thread_("settings", [this] { run(); })
+{
+}
+
+settings_duty::~settings_duty()
+{
+    events_.close();
+    thread_.join();
+}
+
+bool settings_duty::tell(settings_event event)
+{
+    return events_.push(std::move(event));
+}
+
+bool settings_duty::try_tell(settings_event event)
+{
+    return events_.try_push(std::move(event));
+}
+
+void settings_duty::run()
+{
+    while (const auto event = events_.pop())
+        std::visit([this](const auto& some) { on(some); }, *event);
+}
+
+void settings_duty::on(const store_news& event)
+{
+    std::visit([this](const auto& some) { on(some); }, event);
+}
+
+void settings_duty::on(const peer_offer& event)
+{
+    const auto wanted = replica_.teams_to_fetch(event.teams);
+    if (!wanted.empty())
+        hooks_.fetch(event.from, wanted);
+}
+
+void settings_duty::on(const peer_fetch& event)
+{
+    const auto versions = replica_.team_versions();
+    for (const settings::team_version& team : versions) {
+        if (std::ranges::find(event.teams, team.team) != event.teams.end())
+            hooks_.answer(event.from, team, replica_.objects_of(team.team));
+    }
+}
+
+void settings_duty::on(const peer_objects& event)
+{
+    offer(event.objects);
+}
+
+void settings_duty::on(const object_list& list)
+{
+    std::vector<settings::tree_object> objects;
+    std::ranges::transform(list.objects, std::back_inserter(objects),
+                           to_tree_object);
+    offer(objects);
+}
+
+void settings_duty::on(const object_changes& changes)
+{
+    std::vector<settings::tree_object> objects;
+    for (const object_change& change : changes.changes) {
+        if (change.object)
+            objects.push_back(to_tree_object(*change.object));
+    }
+    offer(objects);
+}
+
+void settings_duty::on(const store_unreachable&)
+{
+    // What is in force stays in force.
+}
+
+void settings_duty::offer(const std::vector<settings::tree_object>& objects)
+{
+    std::set<core::team_name> changed;
+    for (const settings::tree_object& object : objects) {
+        const auto team = settings::team_of(object.path);
+        if (team && replica_.offer(object))
+            changed.insert(*team);
+    }
+    if (changed.empty())
+        return;
+    publish();
+    std::vector<settings::team_version> told;
+    std::ranges::copy_if(replica_.team_versions(), std::back_inserter(told),
+                         [&](const settings::team_version& some) {
+                             return changed.contains(some.team);
+                         });
+    hooks_.offer(told);
+}
+
+void settings_duty::publish()
+{
+    hooks_.publish(make_settings_in_force(replica_));
+}
+
+} // namespace oriolefall::platform
--- a/oriolefall/settings/assembly.cpp
+++ b/oriolefall/settings/assembly.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -207,7 +208,10 @@
 
 assembled assemble(std::span<const tree_object> objects)
 {
-    std::vector<tree_object> sorted(objects.begin(), objects.end());
+    std::vector<tree_object> sorted;
+    std::ranges::copy_if(
+        objects, std::back_inserter(sorted),
+        [](const tree_object& object) { return !is_move_path(object.path); });
     std::ranges::sort(sorted);
     joined_lists joined;
     add_teams(joined, sorted);
--- a/oriolefall/settings/assembly.hpp
+++ b/oriolefall/settings/assembly.hpp
@@ -29,12 +29,12 @@
     std::partial_ordering operator<=>(const assembled&) const = default;
 };
 
-/// Joins the objects in the order of their paths. Each may hold any of the
-/// lists of a deployment but `teams`: those are the subtrees that hold an
-/// object. A workspace belongs to the team whose subtree it is in. An element
-/// with a fault is left out, so that the rest stays in force; of two with one
-/// name the later path is left out. The same objects give the same result,
-/// in whatever order they came. Any thread.
+/// Joins the objects, but for moves, in the order of their paths. Each may hold
+/// any of the lists of a deployment but `teams`: those are the subtrees that
+/// hold an object. A workspace belongs to the team whose subtree it is in. An
+/// element with a fault is left out, so that the rest stays in force; of two
+/// with one name the later path is left out. The same objects give the same
+/// result, in whatever order they came. Any thread.
 [[nodiscard]] assembled assemble(std::span<const tree_object> objects);
 
 } // namespace oriolefall::settings
--- a/oriolefall/settings/change.cpp
+++ b/oriolefall/settings/change.cpp
@@ -23,19 +23,6 @@
     return difference == 0;
 }
 
-std::optional<change_refusal> check_key(const change& wanted,
-                                        std::span<const team_key> keys)
-{
-    const auto known = std::ranges::find(keys, wanted.team, &team_key::team);
-    if (known == keys.end())
-        return change_refusal::unknown_team;
-    if (!is_same_secret(known->key, wanted.key))
-        return change_refusal::wrong_key;
-    if (team_of(wanted.path) != wanted.team)
-        return change_refusal::outside_subtree;
-    return std::nullopt;
-}
-
 /// Faults of `after` that `before` does not have, and all of one object.
 std::vector<tree_fault> added(std::vector<tree_fault> before,
                               const std::vector<tree_fault>& after,
@@ -75,12 +62,30 @@
     return names[index];
 }
 
+std::optional<change_refusal> check_team(const team_key& claimed,
+                                         std::string_view path,
+                                         std::span<const team_key> keys)
+{
+    const auto known = std::ranges::find(keys, claimed.team, &team_key::team);
+    if (known == keys.end())
+        return change_refusal::unknown_team;
+    if (!is_same_secret(known->key, claimed.key))
+        return change_refusal::wrong_key;
+    if (team_of(path) != claimed.team)
+        return change_refusal::outside_subtree;
+    return std::nullopt;
+}
+
 std::variant<change_checked, change_refused>
 check_change(const change& wanted, std::span<const tree_object> current,
              std::span<const team_key> keys)
 {
-    if (const auto refusal = check_key(wanted, keys))
+    if (const auto refusal =
+            check_team({wanted.team, wanted.key}, wanted.path, keys))
         return change_refused{*refusal, {}, 0};
+    // Moves have checks of their own.
+    if (is_move_path(wanted.path))
+        return change_refused{change_refusal::outside_subtree, {}, 0};
     const auto parsed = parse_json(wanted.text);
     if (const auto* faults = std::get_if<errors>(&parsed)) {
         change_refused refused;
--- a/oriolefall/settings/change.hpp
+++ b/oriolefall/settings/change.hpp
@@ -65,6 +65,12 @@
     auto operator<=>(const change_checked&) const = default;
 };
 
+/// Whether the team with this key may write `path`; nothing when it may. Any
+/// thread.
+[[nodiscard]] std::optional<change_refusal>
+check_team(const team_key& claimed, std::string_view path,
+           std::span<const team_key> keys);
+
 /// Whether `wanted` may be written over `current`, the whole tree. A change is
 /// refused for every fault that it would add, in its own subtree or another;
 /// faults that were there before do not count. Any thread.
--- a/oriolefall/settings/replica.cpp
+++ b/oriolefall/settings/replica.cpp
@@ -99,4 +99,43 @@
     return newer;
 }
 
+std::vector<team_version> replica::team_versions() const
+{
+    std::map<core::team_name, std::uint64_t> newest;
+    for (const auto& [path, object] : held_) {
+        if (const auto team = team_of(path))
+            newest[*team] = std::max(newest[*team], object.version);
+    }
+    std::vector<team_version> all;
+    std::ranges::transform(newest, std::back_inserter(all),
+                           [](const auto& some) {
+                               return team_version{some.first, some.second};
+                           });
+    return all;
+}
+
+std::vector<core::team_name>
+replica::teams_to_fetch(std::span<const team_version> told) const
+{
+    const auto own = team_versions();
+    std::vector<core::team_name> wanted;
+    for (const team_version& theirs : told) {
+        const auto ours =
+            std::ranges::find(own, theirs.team, &team_version::team);
+        if (ours == own.end() || ours->version < theirs.version)
+            wanted.push_back(theirs.team);
+    }
+    return wanted;
+}
+
+std::vector<tree_object> replica::objects_of(const core::team_name& team) const
+{
+    std::vector<tree_object> subtree;
+    for (const auto& [path, object] : held_) {
+        if (team_of(path) == team)
+            subtree.push_back(object);
+    }
+    return subtree;
+}
+
 } // namespace oriolefall::settings
--- a/oriolefall/settings/replica.hpp
+++ b/oriolefall/settings/replica.hpp
@@ -42,6 +42,15 @@
     [[nodiscard]] std::vector<tree_object>
     newer_than(std::span<const path_version> told) const;
 
+    /// Newest version held in each team's subtree, in the order of teams.
+    [[nodiscard]] std::vector<team_version> team_versions() const;
+    /// Teams of which `told` has a newer version than is held.
+    [[nodiscard]] std::vector<core::team_name>
+    teams_to_fetch(std::span<const team_version> told) const;
+    /// A whole subtree, in the order of paths.
+    [[nodiscard]] std::vector<tree_object>
+    objects_of(const core::team_name& team) const;
+
     /// Equal for replicas that hold the same versions, in every process.
     [[nodiscard]] std::uint64_t digest() const noexcept
     {
--- a/oriolefall/settings/tree_object.cpp
+++ b/oriolefall/settings/tree_object.cpp
@@ -47,4 +47,13 @@
     return core::team_name(std::string(parts.front()));
 }
 
+bool is_move_path(std::string_view path)
+{
+    constexpr std::size_t parts_of_move = 3;
+    if (!team_of(path))
+        return false;
+    const auto parts = split(path.substr(tree_root.size()));
+    return parts.size() == parts_of_move && parts[1] == "moves";
+}
+
 } // namespace oriolefall::settings
--- a/oriolefall/settings/tree_object.hpp
+++ b/oriolefall/settings/tree_object.hpp
@@ -35,10 +35,22 @@
     auto operator<=>(const path_version&) const = default;
 };
 
+/// Newest version of any object in a team's subtree.
+struct team_version
+{
+    core::team_name team;
+    std::uint64_t version = 0;
+    auto operator<=>(const team_version&) const = default;
+};
+
 /// The team whose subtree holds `path`; nothing when the path is not
 /// "/teams/TEAM/NAME" of letters, digits, '.', '_' and '-'. Any thread.
 [[nodiscard]] std::optional<core::team_name> team_of(std::string_view path);
 
+/// True for "/teams/TEAM/moves/NAME": a move, not a part of the deployment. It
+/// stands in the tree so that it spreads like all settings. Any thread.
+[[nodiscard]] bool is_move_path(std::string_view path);
+
 } // namespace oriolefall::settings
 
 #endif
--- a/tests/platform/move_duty_test.cpp
+++ b/tests/platform/move_duty_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const core::move_name name("weekend");
+const core::team_name team("ops");
 
 /// Times short enough for a test; none of them decides its verdict.
 move::mover_settings quick_mover()
@@ -45,6 +46,7 @@
     static platform::move_duty_settings settings(const std::string& instance)
     {
         platform::move_duty_settings settings;
+        settings.team = team;
         settings.name = name;
         settings.instance = core::instance_id(instance);
         settings.mover = quick_mover();
@@ -84,13 +86,14 @@
 {
     move::move_object object;
     object.name = name;
+    object.team = team;
     object.leaving = {core::backend_server_id("old")};
     object.arriving = {
         {core::backend_server_id("new"), {core::model_name("m")}, false}};
     platform::client client(platform.settings());
     const auto result =
-        client.put(platform::move_path(name), platform::print_move(object),
-                   platform::if_absent{});
+        client.put(platform::move_path(team, name),
+                   platform::print_move(object), platform::if_absent{});
     cr_assert(std::holds_alternative<platform::written>(result));
 }
 
--- a/tests/platform/move_text_test.cpp
+++ b/tests/platform/move_text_test.cpp
@@ -37,6 +37,7 @@
 {
     move::move_object object;
     object.name = core::move_name("weekend");
+    object.team = core::team_name("ops");
     object.classes = {{core::class_name("c"), any<core::tier>(3),
                        *rc::gen::inRange(0U, 1001U)}};
     object.leaving = {core::backend_server_id("old")};
@@ -77,7 +78,7 @@
 {
     const auto parsed = platform::parse_move(R"({
         // Three old servers make room for one.
-        "name": "weekend", "leaving": ["a", "b", "c"],
+        "name": "weekend", "team": "t", "leaving": ["a", "b", "c"],
         "arriving": [{"id": "d", "models": ["m"]}]})");
     const auto& object = std::get<move::move_object>(parsed);
     cr_assert_eq(object.leaving.size(), 3);
@@ -87,7 +88,8 @@
 
 Test(move_text, tells_every_fault)
 {
-    const auto faults = faults_of(R"({"name": "m", "leaving": ["a"],
+    const auto faults =
+        faults_of(R"({"name": "m", "team": "t", "leaving": ["a"],
         "arriving": [{"id": "a"}, {"id": "b"}, {"id": "b"}],
         "classes": [{"name": "c", "tier": "gold"}], "percent": 101})");
     std::vector<std::string> paths;
@@ -96,7 +98,7 @@
     const std::vector<std::string> expected{"/classes/0/tier", "/percent",
                                             "/arriving/2/id", "/arriving/0/id"};
     cr_assert(paths == expected);
-    cr_assert_eq(faults_of(R"({"name": "m"})").size(), 1);
+    cr_assert_eq(faults_of(R"({"name": "m", "team": "t"})").size(), 1);
 }
 
 Test(move_text, leases_are_read_as_they_were_printed)
--- a/tests/platform/reader_test.cpp
+++ b/tests/platform/reader_test.cpp
@@ -1,3 +1,4 @@
+#include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/platform/reader.hpp"
 #include "oriolefall/platform/writer.hpp"
 #include "tests/platform/platform_fixture.hpp"
@@ -20,9 +21,17 @@
         : news_(64), client_(quick(platform)),
           reader_(
               settings(), client_.as_object_store(), [this] { client_.stop(); },
-              news_)
+              [this](platform::store_news news) {
+                  news_.push(std::move(news));
+              })
     {
     }
+    follower(const follower&) = delete;
+    follower& operator=(const follower&) = delete;
+    ~follower()
+    {
+        news_.close();
+    }
 
     /// Takes news until `path` has `value`.
     void wait_for(const std::string& path, const std::string& value)
@@ -77,7 +86,7 @@
         unreachable_ = true;
     }
 
-    platform::store_news_ring news_;
+    core::bounded_ring<platform::store_news> news_;
     platform::client client_;
     platform::reader reader_;
     std::map<std::string, std::string> values_;
--- a/tests/settings/tree_test.cpp
+++ b/tests/settings/tree_test.cpp
@@ -345,3 +345,34 @@
     cr_assert(left.digest() == right.digest());
     cr_assert_eq(left.changes(), 2);
 }
+
+Test(replica, tells_and_compares_versions_of_whole_subtrees)
+{
+    settings::replica held;
+    held.offer({"/teams/a/x", 3, "{}"});
+    held.offer({"/teams/a/y", 7, "{}"});
+    held.offer({"/teams/b/x", 5, "{}"});
+    const core::team_name a("a");
+    const core::team_name b("b");
+    const core::team_name c("c");
+    const std::vector<settings::team_version> expected{{a, 7}, {b, 5}};
+    cr_assert(held.team_versions() == expected);
+    cr_assert_eq(held.objects_of(a).size(), 2);
+    cr_assert_eq(held.objects_of(c).size(), 0);
+    const std::vector<settings::team_version> told{{a, 7}, {b, 6}, {c, 1}};
+    const std::vector<core::team_name> wanted{b, c};
+    cr_assert(held.teams_to_fetch(told) == wanted);
+}
+
+Test(change, of_a_move_goes_another_way)
+{
+    settings::change wanted = club_change("{}");
+    wanted.path = "/teams/club/moves/weekend";
+    cr_assert(refusal_of(wanted) == change_refusal::outside_subtree);
+    cr_assert(settings::is_move_path(wanted.path));
+    cr_assert_not(settings::is_move_path("/teams/club/moves"));
+    cr_assert_not(settings::is_move_path("/teams/club/moves/a/b"));
+    std::vector<tree_object> objects = tree;
+    objects.push_back({wanted.path, 5, R"({"name": "weekend"})"});
+    cr_assert(settings::assemble(objects) == settings::assemble(tree));
+}
