Read members once in a property of the member table

The pointer that it compared went into a vector that had been destroyed; seen by the address sanitizer in nothing_that_is_known_goes_back.

--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -83,8 +83,9 @@
             now += absl::Milliseconds(*rc::gen::inRange(0, 8000));
             std::vector<action> out;
             table.step(now, any_event(fleet), out);
+            const auto after = table.members();
             for (const member& held : before) {
-                const member* next = find(table.members(), held.id);
+                const member* next = find(after, held.id);
                 RC_ASSERT(next != nullptr);
                 RC_ASSERT(!supersedes(held, *next));
                 if (held.state == member_state::leaving)
