Add the control duty: membership and settings spread over peer links

One thread owns the member table and the settings replica and is joined to the peer thread by rings. Changed versions are offered to linked peers and fetched by those that hold older ones, so a value crosses to an instance once; unlike digests in heartbeats make peers offer all versions. A few instances of each failure domain, and any that is linked to nobody, are told to read the platform. While no other instance is known the seeds are dialed, by address.

--- a/oriolefall/peer/codec.cpp
+++ b/oriolefall/peer/codec.cpp
@@ -38,8 +38,8 @@
 
 void put(packer& to, const core::endpoint& value);
 void put(packer& to, const membership::member& value);
-void put(packer& to, const team_version& value);
-void put(packer& to, const settings_object& value);
+void put(packer& to, const settings::path_version& value);
+void put(packer& to, const settings::tree_object& value);
 void put(packer& to, const load_hint& value);
 
 template <class T>
@@ -70,12 +70,12 @@
               value.location.failure_domain);
 }
 
-void put(packer& to, const team_version& value)
+void put(packer& to, const settings::path_version& value)
 {
-    put_array(to, value.team, value.version);
+    put_array(to, value.path, value.version);
 }
 
-void put(packer& to, const settings_object& value)
+void put(packer& to, const settings::tree_object& value)
 {
     put_array(to, value.path, value.version, value.value);
 }
@@ -109,17 +109,17 @@
 
 void put_message(packer& to, std::uint64_t kind, const settings_offer& value)
 {
-    put_array(to, kind, value.teams);
+    put_array(to, kind, value.versions);
 }
 
 void put_message(packer& to, std::uint64_t kind, const settings_fetch& value)
 {
-    put_array(to, kind, value.teams);
+    put_array(to, kind, value.paths);
 }
 
 void put_message(packer& to, std::uint64_t kind, const settings_answer& value)
 {
-    put_array(to, kind, value.team, value.objects);
+    put_array(to, kind, value.objects);
 }
 
 void put_message(packer& to, std::uint64_t kind, const load_hints& value)
@@ -140,6 +140,11 @@
 
 using detail::field_reader;
 
+void get(field_reader& from, std::string& value)
+{
+    value = from.text();
+}
+
 template <class Tag>
 void get(field_reader& from, core::strong_id<Tag>& value)
 {
@@ -171,14 +176,14 @@
     get(fields, value.location.failure_domain);
 }
 
-void get(field_reader& from, team_version& value)
+void get(field_reader& from, settings::path_version& value)
 {
     field_reader fields = from.array();
-    get(fields, value.team);
+    value.path = fields.text();
     value.version = fields.number();
 }
 
-void get(field_reader& from, settings_object& value)
+void get(field_reader& from, settings::tree_object& value)
 {
     field_reader fields = from.array();
     value.path = fields.text();
@@ -227,17 +232,16 @@
 
 void get_message(field_reader& from, settings_offer& value)
 {
-    get(from, value.teams);
+    get(from, value.versions);
 }
 
 void get_message(field_reader& from, settings_fetch& value)
 {
-    get(from, value.teams);
+    get(from, value.paths);
 }
 
 void get_message(field_reader& from, settings_answer& value)
 {
-    get(from, value.team);
     get(from, value.objects);
 }
 
--- /dev/null
+++ b/oriolefall/peer/control_duty.hpp
@@ -0,0 +1,116 @@
+#ifndef ORIOLEFALL_PEER_CONTROL_DUTY_HPP
+#define ORIOLEFALL_PEER_CONTROL_DUTY_HPP
+
+#include "oriolefall/core/duty_thread.hpp"
+#include "oriolefall/membership/member_table.hpp"
+#include "oriolefall/peer/control_event.hpp"
+#include "oriolefall/peer/link.hpp"
+#include "oriolefall/peer/settings_exchange.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace oriolefall::peer {
+
+using members_ptr = std::shared_ptr<const std::vector<membership::member>>;
+
+/// What one instance needs to take part in the fleet.
+struct control_settings
+{
+    link_settings link;
+    membership::membership_settings membership;
+    /// Where this instance listens for callers.
+    core::endpoint callers;
+    core::location location;
+    /// Instances to talk to while no other is known.
+    std::vector<core::endpoint> seeds;
+    /// Instances of each failure domain that read the platform.
+    std::size_t readers_per_domain = 2;
+    std::size_t ring_capacity = 4096;
+};
+
+/// What the rest of the instance hears of the fleet. All are called on the
+/// control thread and must not block.
+struct control_hooks
+{
+    /// The members have changed.
+    std::function<void(members_ptr)> members_changed;
+    /// Settings objects are held in newer versions.
+    std::function<void(const std::vector<settings::tree_object>&)>
+        settings_kept;
+    /// This instance is to read the platform itself, or no longer.
+    std::function<void(bool)> reader_role_changed;
+    /// A load hint, or a question or answer about an idempotency key.
+    std::function<void(const peer_message&)> other_message;
+};
+
+/// The duty that knows the fleet: owns the member table and the settings
+/// replica, joined to the peer thread by rings. Also without the platform it
+/// goes on, and takes settings from peers.
+class control_duty
+{
+public:
+    control_duty(control_settings settings, control_hooks hooks);
+    ~control_duty();
+    control_duty(const control_duty&) = delete;
+    control_duty& operator=(const control_duty&) = delete;
+
+    /// Listens and starts both threads. False when the address cannot be
+    /// listened at. Once.
+    bool start();
+    void stop();
+
+    /// Tells the control thread something. Never blocks; false when there is
+    /// no room. Any thread.
+    bool give(control_event event);
+    /// Where it listens for other instances. Any thread after `start`.
+    [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] link_counts counts() const;
+
+private:
+    void run();
+    void tick();
+    void apply(const control_event& event);
+    void on(const link_event& event);
+    void on(const settings_read& event);
+    void on(const membership::platform_listed& event);
+    void on(const membership::leave_requested& event);
+    void on(const outgoing& event);
+    void on_link(const peer_opened& event);
+    void on_link(const peer_closed& event);
+    void on_link(const peer_message& event);
+    void on_message(const core::instance_id& from,
+                    const membership::heartbeat& value);
+    void on_message(const core::instance_id& from, const member_news& value);
+    void on_message(const core::instance_id& from,
+                    const membership::member_buckets& value);
+    template <class Message>
+    void on_settings(const core::instance_id& from, const Message& value);
+
+    void step(const membership::event& event);
+    void act(const membership::action& action);
+    void act(std::vector<exchange_action>& actions);
+    void want(const std::vector<membership::member>& peers);
+    void publish_members();
+    void choose_role();
+
+    control_settings settings_;
+    control_hooks hooks_;
+    control_ring events_;
+    peer::link link_;
+    std::optional<membership::member_table> table_;
+    settings_exchange exchange_;
+    std::vector<membership::action> actions_;
+    absl::Time now_ = absl::InfinitePast();
+    std::size_t links_ = 0;
+    bool members_are_new_ = true;
+    std::optional<bool> is_reader_;
+    std::optional<core::duty_thread> thread_;
+};
+
+} // namespace oriolefall::peer
+
+#endif
--- a/oriolefall/peer/link_command.hpp
+++ b/oriolefall/peer/link_command.hpp
@@ -12,7 +12,8 @@
 
 namespace oriolefall::peer {
 
-/// An instance and where it listens for others.
+/// An instance and where it listens for others. An empty name: whichever
+/// instance listens there.
 struct peer_address
 {
     core::instance_id instance;
--- a/oriolefall/peer/link_loop.cpp
+++ b/oriolefall/peer/link_loop.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -15,6 +16,22 @@
 constexpr absl::Duration longest_wait = absl::Minutes(1);
 /// Until an event that found no room is offered again.
 constexpr absl::Duration redeliver_interval = absl::Milliseconds(20);
+/// Stands before the address of a peer whose name is not known; no instance's
+/// name holds it.
+constexpr char seed_mark = '\n';
+
+core::instance_id name_of(const peer_address& peer)
+{
+    if (!peer.instance.value().empty())
+        return peer.instance;
+    return core::instance_id(seed_mark + peer.endpoint.address + ':' +
+                             std::to_string(peer.endpoint.port));
+}
+
+bool is_seed(const core::instance_id& name)
+{
+    return name.value().front() == seed_mark;
+}
 } // namespace
 
 link_loop::link_loop(const link_settings& settings, unique_fd listener,
@@ -70,14 +87,15 @@
 {
     std::map<core::instance_id, wanted_peer> next;
     for (const peer_address& peer : command.peers) {
-        const auto held = wanted_.find(peer.instance);
+        const core::instance_id name = name_of(peer);
+        const auto held = wanted_.find(name);
         if (held != wanted_.end() && held->second.endpoint == peer.endpoint) {
             next.emplace(held->first, held->second);
             continue;
         }
-        const bool yields = peer.instance < settings_.self;
+        const bool yields = !is_seed(name) && name < settings_.self;
         next.emplace(
-            peer.instance,
+            name,
             wanted_peer{peer.endpoint,
                         {settings_.first_backoff, settings_.longest_backoff},
                         yields ? now + settings_.yield_time : now});
@@ -153,7 +171,9 @@
     connection& next = *opened.value;
     const core::instance_id peer(next.peer().instance);
     const bool is_dialer = next.role() == proof_role::dialer;
-    if (peer == settings_.self || (is_dialer && peer != opened.wanted)) {
+    const bool is_other =
+        is_dialer && !is_seed(opened.wanted) && peer != opened.wanted;
+    if (peer == settings_.self || is_other) {
         next.end(refusal::unexpected_instance);
         return;
     }
--- a/oriolefall/peer/message.hpp
+++ b/oriolefall/peer/message.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/core/ids.hpp"
 #include "oriolefall/membership/event.hpp"
 #include "oriolefall/membership/member.hpp"
+#include "oriolefall/settings/tree_object.hpp"
 
 #include <absl/time/time.h>
 
@@ -22,44 +23,25 @@
     auto operator<=>(const member_news&) const = default;
 };
 
-/// The version of one team's subtree of the settings.
-struct team_version
-{
-    core::team_name team;
-    std::uint64_t version = 0;
-    auto operator<=>(const team_version&) const = default;
-};
-
-/// Subtrees that the sender has in force: those that changed, or all.
+/// Versions of settings objects that the sender has in force: those that
+/// changed, or all.
 struct settings_offer
 {
-    std::vector<team_version> teams;
+    std::vector<settings::path_version> versions;
     auto operator<=>(const settings_offer&) const = default;
 };
 
-/// Asks for whole subtrees.
+/// Asks for objects.
 struct settings_fetch
 {
-    std::vector<core::team_name> teams;
+    std::vector<std::string> paths;
     auto operator<=>(const settings_fetch&) const = default;
 };
 
-/// One settings object as the platform holds it.
-struct settings_object
-{
-    /// Such as "/teams/entries/classes".
-    std::string path;
-    std::uint64_t version = 0;
-    /// JSON text.
-    std::string value;
-    auto operator<=>(const settings_object&) const = default;
-};
-
-/// One whole subtree; answers `settings_fetch`.
+/// Objects as the platform holds them; answers `settings_fetch`.
 struct settings_answer
 {
-    team_version team;
-    std::vector<settings_object> objects;
+    std::vector<settings::tree_object> objects;
     auto operator<=>(const settings_answer&) const = default;
 };
 
