--- a/bench/commands.hpp
+++ b/bench/commands.hpp
@@ -28,6 +28,8 @@
 int decider_command(std::span<const std::string> words);
 /// Replays a trace against live entry instances.
 int load_command(std::span<const std::string> words);
+/// Measures what control costs each instance of a fleet.
+int fleet_command(std::span<const std::string> words);
 
 } // namespace oriolefall::bench
 
--- a/programs/bench/main.cpp
+++ b/programs/bench/main.cpp
@@ -34,6 +34,8 @@
          bench::replay_command},
         {"make-traces", "DIR: writes the generated traces into DIR",
          bench::make_traces_command},
+        {"fleet", "measures what control costs each instance of a fleet",
+         bench::fleet_command},
     };
 }
 
