Give each client write ids of its own

A lost answer is resolved by the write id read back, so two clients that were given one name would each take the other's write for their own. Each client now draws an incarnation.

--- a/oriolefall/platform/client.cpp
+++ b/oriolefall/platform/client.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cassert>
 #include <cctype>
+#include <random>
 #include <utility>
 
 namespace oriolefall::platform {
@@ -30,6 +31,14 @@
     return std::nullopt;
 }
 
+/// Tells this client's writes from those of any other of the same name.
+std::uint64_t draw_incarnation()
+{
+    std::random_device source;
+    constexpr unsigned word_bits = 32;
+    return (std::uint64_t{source()} << word_bits) | source();
+}
+
 bool is_success(int status)
 {
     return status < http_status::first_error;
@@ -81,6 +90,7 @@
 client::client(client_settings settings)
     : settings_(std::move(settings)),
       budget_(settings_.calls_per_second, settings_.burst),
+      incarnation_(draw_incarnation()),
       http_(std::make_unique<httplib::Client>(settings_.endpoint.address,
                                               settings_.endpoint.port))
 {
@@ -348,7 +358,8 @@
 
 std::string client::next_write_id()
 {
-    return core::concat(settings_.writer_name, "-", next_write_++);
+    return core::concat(settings_.writer_name, "-", incarnation_, "-",
+                        next_write_++);
 }
 
 } // namespace oriolefall::platform
--- a/oriolefall/platform/client.hpp
+++ b/oriolefall/platform/client.hpp
@@ -118,6 +118,8 @@
     client_settings settings_;
     call_budget budget_;
     stop_signal stop_;
+    /// Drawn at random, so that no two clients share a write id.
+    std::uint64_t incarnation_;
     std::unique_ptr<httplib::Client> http_;
     std::uint64_t next_write_ = 1;
 };
--- a/oriolefall/platform/client_settings.hpp
+++ b/oriolefall/platform/client_settings.hpp
@@ -44,7 +44,7 @@
 struct client_settings
 {
     core::endpoint endpoint;
-    /// Starts every write id; unique to this process and client.
+    /// Starts every write id, for those who read the objects.
     std::string writer_name = "writer";
     absl::Duration connect_limit = absl::Milliseconds(500);
     /// Longest time without a byte of an answer.
