Run the tests under the thread sanitizer

Under the thread sanitizer Criterion stops before any test with 'Could not initialize inheritable arena', so the tsan preset ran nothing. In that preset tests/plain gives the same macros and runs each test in a process of its own.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -37,9 +37,17 @@
 function(oriolefall_tests name)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
   add_executable(tests_${name} ${sources})
-  target_link_libraries(tests_${name} PRIVATE oriolefall_flags PkgConfig::criterion
-                        rapidcheck ${ARGN})
-  add_test(NAME ${name} COMMAND tests_${name} --jobs 4)
+  target_link_libraries(tests_${name} PRIVATE oriolefall_flags rapidcheck ${ARGN})
+  # Criterion cannot start under the thread sanitizer; tests/plain runs the
+  # same tests there.
+  if(ORIOLEFALL_PLAIN_TESTS)
+    target_sources(tests_${name} PRIVATE $<TARGET_OBJECTS:tests_plain>)
+    target_include_directories(tests_${name} BEFORE PRIVATE ${CMAKE_SOURCE_DIR}/tests/plain)
+    add_test(NAME ${name} COMMAND tests_${name})
+  else()
+    target_link_libraries(tests_${name} PRIVATE PkgConfig::criterion)
+    add_test(NAME ${name} COMMAND tests_${name} --jobs 4)
+  endif()
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT
     "RC_PARAMS=seed=20261204;ORIOLEFALL_BUILD=${CMAKE_BINARY_DIR};ORIOLEFALL_SOURCE=${CMAKE_SOURCE_DIR}")
 endfunction()
