--- /dev/null
+++ b/oriolefall/daemon/platform_client.cpp
@@ -0,0 +1,34 @@
+#include "oriolefall/daemon/platform_client.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace oriolefall::daemon {
+
+namespace {
+
+void count_call(const tell_hook& tell, const platform::call_noted& call)
+{
+    const std::string type(to_string(call.type));
+    tell(observe::counter_added{"platform_calls_total", "type", type, 1});
+    if (!call.failed)
+        return;
+    const std::string cause(to_string(*call.failed));
+    tell(observe::counter_added{"platform_failures_total", "cause", cause, 1});
+}
+
+} // namespace
+
+platform::client_settings client_settings_of(const platform_access& access,
+                                             const std::string& duty)
+{
+    platform::client_settings settings;
+    settings.endpoint = access.endpoint;
+    settings.writer_name = absl::StrCat(access.instance.value(), "/",
+                                        access.incarnation, "/", duty);
+    settings.note = [tell = access.tell](const platform::call_noted& call) {
+        count_call(tell, call);
+    };
+    return settings;
+}
+
+} // namespace oriolefall::daemon
--- a/oriolefall/platform/object.hpp
+++ b/oriolefall/platform/object.hpp
@@ -63,6 +63,9 @@
 {
     core::instance_id id;
     core::endpoint endpoint;
+    /// Where it listens for other instances, at the same address; 0 when that
+    /// was not told.
+    std::uint16_t peer_port = 0;
     core::location location;
     /// True: it is stopping.
     bool leaving = false;
--- a/oriolefall/platform/wire.cpp
+++ b/oriolefall/platform/wire.cpp
@@ -62,6 +62,7 @@
     instance.id = core::instance_id(from.at("id").get<std::string>());
     instance.endpoint.address = from.at("address").get<std::string>();
     instance.endpoint.port = from.at("port").get<std::uint16_t>();
+    instance.peer_port = from.value<std::uint16_t>("peer_port", 0);
     instance.location.region =
         core::region_name(from.at("region").get<std::string>());
     instance.location.failure_domain =
@@ -138,6 +139,7 @@
         {"id", instance.id.value()},
         {"address", instance.endpoint.address},
         {"port", instance.endpoint.port},
+        {"peer_port", instance.peer_port},
         {"region", instance.location.region.value()},
         {"failure_domain", instance.location.failure_domain.value()},
         {"state", instance.leaving ? "leaving" : "live"}};
--- a/stand_ins/instance_list.hpp
+++ b/stand_ins/instance_list.hpp
@@ -19,6 +19,8 @@
     std::string id;
     std::string address;
     std::uint16_t port = 0;
+    /// Where it listens for other instances; 0 when that was not told.
+    std::uint16_t peer_port = 0;
     std::string region;
     std::string failure_domain;
     /// `live` or `leaving`.
--- a/stand_ins/platform_codec.cpp
+++ b/stand_ins/platform_codec.cpp
@@ -61,6 +61,7 @@
     return {{"id", record.id},
             {"address", record.address},
             {"port", record.port},
+            {"peer_port", record.peer_port},
             {"region", record.region},
             {"failure_domain", record.failure_domain},
             {"state", record.state}};
@@ -192,6 +193,7 @@
         record.id = id;
         record.address = told.at("address").get<std::string>();
         record.port = told.at("port").get<std::uint16_t>();
+        record.peer_port = told.value("peer_port", record.peer_port);
         record.region = told.value("region", "");
         record.failure_domain = told.value("failure_domain", "");
         record.state = told.value("state", record.state);
--- a/tests/platform/client_test.cpp
+++ b/tests/platform/client_test.cpp
@@ -227,6 +227,7 @@
     const platform::listed_instance self{
         core::instance_id("i-1"),
         {"127.0.0.1", 8080},
+        8081,
         {core::region_name("r"), core::failure_domain_name("r-1")},
         true};
     cr_assert(std::holds_alternative<written>(client.announce(self)));
