--- /dev/null
+++ b/oriolefall/daemon/fleet_duties.cpp
@@ -0,0 +1,156 @@
+#include "oriolefall/daemon/fleet_duties.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace oriolefall::daemon {
+
+namespace {
+
+membership::member to_member(const platform::listed_instance& listed)
+{
+    membership::member member;
+    member.id = listed.id;
+    member.state = listed.leaving ? membership::member_state::leaving
+                                  : membership::member_state::live;
+    member.callers = listed.endpoint;
+    member.peers = {listed.endpoint.address, listed.peer_port};
+    member.location = listed.location;
+    return member;
+}
+
+membership::platform_listed
+to_event(const std::vector<platform::listed_instance>& listed)
+{
+    membership::platform_listed event;
+    std::ranges::transform(listed, std::back_inserter(event.members),
+                           to_member);
+    return event;
+}
+
+} // namespace
+
+fleet_duties::fleet_duties(const settings::instance_settings& settings,
+                           std::uint64_t incarnation,
+                           const std::optional<platform_access>& access,
+                           tell_hook tell,
+                           settings_applier::applied_hook applied)
+    : settings_(settings), incarnation_(incarnation), access_(access),
+      tell_(std::move(tell)),
+      members_(std::make_shared<const std::vector<membership::member>>()),
+      applier_(std::move(applied), tell_)
+{
+}
+
+fleet_duties::~fleet_duties()
+{
+    registrar_.reset();
+    reader_.reset();
+    if (control_)
+        control_->stop();
+}
+
+bool fleet_duties::start(const core::endpoint& callers)
+{
+    control_ = std::make_unique<peer::control_duty>(control_settings(callers),
+                                                    control_hooks());
+    if (access_) {
+        const auto give = [this](std::vector<settings::tree_object> objects) {
+            return control_->give(peer::settings_read{std::move(objects)});
+        };
+        reader_ = std::make_unique<settings_reader>(
+            client_settings_of(*access_, "settings"), give);
+    }
+    if (!control_->start())
+        return false;
+    if (access_)
+        start_registrar(callers);
+    return true;
+}
+
+std::uint16_t fleet_duties::port() const
+{
+    return control_->port();
+}
+
+void fleet_duties::leave()
+{
+    control_->give(membership::leave_requested{});
+    if (registrar_)
+        registrar_->leave();
+}
+
+membership::entry_choice
+fleet_duties::entry(const core::workspace_id& workspace) const
+{
+    const membership::entry_settings wanted{.lifetime =
+                                                settings_.address_lifetime};
+    const auto known = members_.get();
+    return membership::choose_entry({workspace, settings_.location.region},
+                                    *known, wanted);
+}
+
+peer::members_ptr fleet_duties::members() const
+{
+    return members_.get();
+}
+
+std::shared_ptr<const versions> fleet_duties::settings_in_force() const
+{
+    return applier_.in_force();
+}
+
+peer::link_counts fleet_duties::counts() const
+{
+    return control_->counts();
+}
+
+peer::control_settings
+fleet_duties::control_settings(const core::endpoint& callers) const
+{
+    peer::control_settings control;
+    control.link.self = settings_.instance;
+    control.link.incarnation = incarnation_;
+    control.link.listen = settings_.peer_listen;
+    control.link.key = settings_.peer_key;
+    control.link.seed = settings_.decider_seed;
+    control.callers = callers;
+    control.location = settings_.location;
+    control.seeds = settings_.peers;
+    return control;
+}
+
+peer::control_hooks fleet_duties::control_hooks()
+{
+    peer::control_hooks hooks;
+    hooks.members_changed = [this](peer::members_ptr members) {
+        members_.set(std::move(members));
+    };
+    hooks.settings_kept =
+        [this](const std::vector<settings::tree_object>& objects) {
+            applier_.give(objects);
+        };
+    hooks.reader_role_changed = [this](bool is_reader) {
+        if (reader_)
+            reader_->set_role(is_reader);
+    };
+    hooks.other_message = [](const peer::peer_message&) {};
+    return hooks;
+}
+
+void fleet_duties::start_registrar(const core::endpoint& callers)
+{
+    const platform::listed_instance self{.id = settings_.instance,
+                                         .endpoint = callers,
+                                         .peer_port = control_->port(),
+                                         .location = settings_.location,
+                                         .leaving = false};
+    registrar_ = std::make_unique<registrar>(
+        registrar_settings{.self = self}, *access_,
+        [this](const std::vector<platform::listed_instance>& listed) {
+            control_->give(to_event(listed));
+        });
+}
+
+} // namespace oriolefall::daemon
--- a/oriolefall/daemon/instance.cpp
+++ b/oriolefall/daemon/instance.cpp
@@ -1,5 +1,6 @@
 #include "oriolefall/daemon/instance.hpp"
 
+#include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -39,11 +40,30 @@
     return {.lanes = from.backend_lanes, .waiting_calls = from.backend_lanes};
 }
 
+/// Lanes that claim idempotency keys at the platform.
+constexpr std::size_t claim_lanes = 4;
+
+/// Later for each start of an instance.
+std::uint64_t incarnation_now()
+{
+    return static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()));
+}
+
+nlohmann::json to_json(const membership::member& member)
+{
+    return {{"instance", member.id.value()},
+            {"state", membership::to_string(member.state)},
+            {"region", member.location.region.value()},
+            {"failure_domain", member.location.failure_domain.value()},
+            {"address", member.callers.address},
+            {"port", member.callers.port}};
+}
+
 } // namespace
 
 instance::instance(const instance_options& options)
-    : options_(options), table_(first_table(options)),
-      recorder_(observe::recorder_settings{}),
+    : options_(options), incarnation_(incarnation_now()),
+      table_(first_table(options)), recorder_(observe::recorder_settings{}),
       decider_(decider_settings(options), table_.get())
 {
 }
@@ -52,6 +72,8 @@
 {
     if (front_)
         front_->stop();
+    fleet_.reset();
+    claims_.reset();
     // The decider stops first: it starts calls, which the lanes then end.
     decider_.stop();
     lanes_.reset();
@@ -61,10 +83,32 @@
 {
     lanes_ = std::make_unique<backend::lane_pool>(
         lane_settings(options_.settings), make_lane_hooks());
+    const tell_hook tell = [this](observe::record what) {
+        recorder_.tell(std::move(what));
+    };
+    std::optional<platform_access> access;
+    if (const auto& platform = options_.settings.platform)
+        access = platform_access{*platform, options_.settings.instance,
+                                 incarnation_, tell};
+    if (access)
+        claims_ = std::make_unique<claim_duty>(
+            *access, claim_lanes, [this](const decision::key_claimed& claimed) {
+                decider_.tell(claimed);
+            });
+    fleet_ = std::make_unique<fleet_duties>(
+        options_.settings, incarnation_, access, tell,
+        [this](const decision::routing_table_ptr& table) { apply(table); });
     decider_.start(make_actions());
     front_ = std::make_unique<front::server>(front_settings(options_.settings),
                                              make_handlers());
-    return front_->start();
+    return front_->start() &&
+           fleet_->start({options_.settings.listen.address, port()});
+}
+
+void instance::apply(const decision::routing_table_ptr& table)
+{
+    table_.set(table);
+    decider_.tell(decision::table_applied{table});
 }
 
 std::uint16_t instance::port() const
@@ -75,6 +119,7 @@
 void instance::leave()
 {
     leaving_ = true;
+    fleet_->leave();
 }
 
 void instance::refuse_new_requests()
@@ -127,8 +172,16 @@
                 return lanes_->try_start(std::move(order));
             },
         .cancel_call = [this](core::call_id id) { lanes_->cancel(id); },
-        .claim_key = [](const decision::claim_key&) { return false; },
-        .record_outcome = [](const decision::record_outcome&) {},
+        .claim_key =
+            [this](const decision::claim_key& claim) {
+                return claims_ && claims_->submit(claim);
+            },
+        .record_outcome =
+            [this](const decision::record_outcome& outcome) {
+                if (claims_ && !claims_->submit(outcome))
+                    recorder_.tell(observe::counter_added{
+                        "claim_outcomes_total", "result", "no_room"});
+            },
         .tell =
             [this](observe::record what) { recorder_.tell(std::move(what)); }};
 }
@@ -173,23 +226,35 @@
     return *found;
 }
 
-front::entry_answer instance::entry(const core::workspace_id&) const
+front::entry_answer instance::entry(const core::workspace_id& workspace) const
 {
-    return {.endpoints = {{options_.settings.listen.address, port()}},
-            .lifetime = options_.settings.address_lifetime};
+    const membership::entry_choice choice = fleet_->entry(workspace);
+    front::entry_answer answer;
+    answer.lifetime = choice.lifetime;
+    std::ranges::transform(choice.members, std::back_inserter(answer.endpoints),
+                           &membership::member::callers);
+    return answer;
 }
 
 std::string instance::status() const
 {
     const auto table = table_.get();
-    const nlohmann::json text{
+    nlohmann::json text{
         {"instance", options_.settings.instance.value()},
         {"region", options_.settings.location.region.value()},
         {"failure_domain", options_.settings.location.failure_domain.value()},
         {"state", leaving_ ? "leaving" : "live"},
         {"settings_version", table->version},
         {"backend_servers", table->servers.size()},
-        {"open_requests", open_requests()}};
+        {"open_requests", open_requests()},
+        {"members", nlohmann::json::array()},
+        {"settings", nlohmann::json::object()}};
+    const auto members = fleet_->members();
+    std::ranges::transform(*members, std::back_inserter(text["members"]),
+                           to_json);
+    const auto in_force = fleet_->settings_in_force();
+    for (const settings::path_version& object : *in_force)
+        text["settings"][object.path] = object.version;
     return text.dump();
 }
 
--- a/oriolefall/daemon/instance.hpp
+++ b/oriolefall/daemon/instance.hpp
@@ -3,7 +3,9 @@
 
 #include "oriolefall/backend/lane_pool.hpp"
 #include "oriolefall/core/latest_value.hpp"
+#include "oriolefall/daemon/claim_duty.hpp"
 #include "oriolefall/daemon/decider_thread.hpp"
+#include "oriolefall/daemon/fleet_duties.hpp"
 #include "oriolefall/daemon/instance_options.hpp"
 #include "oriolefall/daemon/request_ids.hpp"
 #include "oriolefall/front/server.hpp"
@@ -54,14 +56,18 @@
     [[nodiscard]] front::entry_answer
     entry(const core::workspace_id& workspace) const;
     [[nodiscard]] std::string status() const;
+    void apply(const decision::routing_table_ptr& table);
 
     instance_options options_;
+    std::uint64_t incarnation_;
     request_ids request_ids_;
     core::latest_value<decision::routing_table> table_;
     std::atomic<bool> leaving_ = false;
     observe::recorder recorder_;
     decider_thread decider_;
     std::unique_ptr<backend::lane_pool> lanes_;
+    std::unique_ptr<claim_duty> claims_;
+    std::unique_ptr<fleet_duties> fleet_;
     std::unique_ptr<front::server> front_;
 };
 
--- /dev/null
+++ b/oriolefall/daemon/settings_reader.cpp
@@ -0,0 +1,92 @@
+#include "oriolefall/daemon/settings_reader.hpp"
+
+#include "oriolefall/platform/settings_store.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace oriolefall::daemon {
+
+namespace {
+
+constexpr std::size_t news_capacity = 256;
+constexpr std::size_t role_capacity = 64;
+
+std::vector<settings::tree_object> objects_of(const platform::store_news& news)
+{
+    std::vector<settings::tree_object> objects;
+    if (const auto* list = std::get_if<platform::object_list>(&news))
+        std::ranges::transform(list->objects, std::back_inserter(objects),
+                               platform::to_tree_object);
+    if (const auto* some = std::get_if<platform::object_changes>(&news)) {
+        for (const platform::object_change& change : some->changes) {
+            if (change.object)
+                objects.push_back(platform::to_tree_object(*change.object));
+        }
+    }
+    return objects;
+}
+
+} // namespace
+
+struct settings_reader::reading
+{
+    reading(const platform::client_settings& settings, const give_hook& give)
+        : news(news_capacity), client(settings),
+          reader(
+              std::in_place, platform::reader_settings{},
+              client.as_object_store(), [this] { client.stop(); }, news),
+          thread("settings-news", [this, give] {
+              while (const auto told = news.pop())
+                  give(objects_of(*told));
+          })
+    {
+    }
+
+    ~reading()
+    {
+        reader.reset();
+    }
+
+    reading(const reading&) = delete;
+    reading& operator=(const reading&) = delete;
+
+    platform::store_news_ring news;
+    platform::client client;
+    std::optional<platform::reader> reader;
+    core::duty_thread thread;
+};
+
+settings_reader::settings_reader(platform::client_settings client,
+                                 give_hook give)
+    : client_(std::move(client)), give_(std::move(give)), roles_(role_capacity),
+      thread_("settings-role", [this] { follow_role(); })
+{
+}
+
+settings_reader::~settings_reader()
+{
+    roles_.close();
+    thread_.join();
+}
+
+void settings_reader::set_role(bool is_reader)
+{
+    roles_.try_push(is_reader);
+}
+
+void settings_reader::follow_role()
+{
+    while (const auto is_reader = roles_.pop()) {
+        if (*is_reader && !reading_)
+            reading_ = std::make_unique<reading>(client_, give_);
+        if (!*is_reader)
+            reading_.reset();
+    }
+    reading_.reset();
+}
+
+} // namespace oriolefall::daemon
--- a/stand_ins/platform_codec.cpp
+++ b/stand_ins/platform_codec.cpp
@@ -58,13 +58,11 @@
 
 json to_json(const instance_record& record)
 {
-    return {{"id", record.id},
-            {"address", record.address},
-            {"port", record.port},
-            {"peer_port", record.peer_port},
-            {"region", record.region},
-            {"failure_domain", record.failure_domain},
-            {"state", record.state}};
+    return {
+        {"id", record.id},         {"address", record.address},
+        {"port", record.port},     {"peer_port", record.peer_port},
+        {"region", record.region}, {"failure_domain", record.failure_domain},
+        {"state", record.state}};
 }
 
 /// Writes each kind of reply to an HTTP response.
