--- a/oriolefall/daemon/fleet_duties.cpp
+++ b/oriolefall/daemon/fleet_duties.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/daemon/fleet_duties.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -8,6 +10,9 @@
 
 namespace {
 
+/// Changes of settings that wait to be put in force at most.
+constexpr std::size_t settings_ring_capacity = 1024;
+
 membership::member to_member(const platform::listed_instance& listed)
 {
     membership::member member;
@@ -34,12 +39,13 @@
 fleet_duties::fleet_duties(const settings::instance_settings& settings,
                            std::uint64_t incarnation,
                            const std::optional<platform_access>& access,
-                           tell_hook tell,
-                           settings_applier::applied_hook applied)
+                           tell_hook tell, applied_hook applied)
     : settings_(settings), incarnation_(incarnation), access_(access),
       tell_(std::move(tell)),
       members_(std::make_shared<const std::vector<membership::member>>()),
-      applier_(std::move(applied), tell_)
+      applied_(std::move(applied)),
+      in_force_(std::make_shared<const platform::settings_in_force>()),
+      settings_duty_(settings_ring_capacity, settings_hooks())
 {
 }
 
@@ -96,9 +102,10 @@
     return members_.get();
 }
 
-std::shared_ptr<const versions> fleet_duties::settings_in_force() const
+std::shared_ptr<const platform::settings_in_force>
+fleet_duties::settings_in_force() const
 {
-    return applier_.in_force();
+    return in_force_.get();
 }
 
 peer::link_counts fleet_duties::counts() const
@@ -129,7 +136,8 @@
     };
     hooks.settings_kept =
         [this](const std::vector<settings::tree_object>& objects) {
-            applier_.give(objects);
+            // With no room the next list of the platform mends it.
+            settings_duty_.try_tell(platform::peer_objects{objects});
         };
     hooks.reader_role_changed = [this](bool is_reader) {
         if (reader_)
@@ -139,6 +147,34 @@
     return hooks;
 }
 
+platform::settings_duty_hooks fleet_duties::settings_hooks()
+{
+    platform::settings_duty_hooks hooks;
+    hooks.publish = [this](const platform::settings_in_force& next) {
+        put_in_force(next);
+    };
+    // The control duty spreads the tree among peers.
+    hooks.offer = [](const auto&) {};
+    hooks.fetch = [](const auto&, const auto&) {};
+    hooks.answer = [](const auto&, const auto&, const auto&) {};
+    return hooks;
+}
+
+void fleet_duties::put_in_force(const platform::settings_in_force& next)
+{
+    applied_(next.table);
+    in_force_.set(std::make_shared<const platform::settings_in_force>(next));
+    const std::size_t faults = next.faults.size();
+    tell_(observe::counter_added{"settings_applied_total", "", ""});
+    tell_(observe::counter_added{"settings_faults_total", "", "", faults});
+    const auto level =
+        faults == 0 ? observe::log_level::info : observe::log_level::warning;
+    tell_(observe::log_note{level, "settings",
+                            absl::StrCat("version ", next.table->version,
+                                         " in force, ", faults,
+                                         " parts left out for faults")});
+}
+
 void fleet_duties::start_registrar(const core::endpoint& callers)
 {
     const platform::listed_instance self{.id = settings_.instance,
--- a/oriolefall/daemon/fleet_duties.hpp
+++ b/oriolefall/daemon/fleet_duties.hpp
@@ -4,19 +4,23 @@
 #include "oriolefall/core/latest_value.hpp"
 #include "oriolefall/daemon/platform_client.hpp"
 #include "oriolefall/daemon/registrar.hpp"
-#include "oriolefall/daemon/settings_applier.hpp"
 #include "oriolefall/daemon/settings_reader.hpp"
 #include "oriolefall/membership/entry_choice.hpp"
 #include "oriolefall/peer/control_duty.hpp"
+#include "oriolefall/platform/settings_duty.hpp"
 #include "oriolefall/settings/instance_settings.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
 
 namespace oriolefall::daemon {
 
+/// Puts a routing table in force; called on the settings thread, may wait.
+using applied_hook = std::function<void(decision::routing_table_ptr)>;
+
 /// What one instance does to take part in the fleet: the control duty with
 /// its links, the settings in force, and, where there is a platform, its
 /// list of instances and its settings tree.
@@ -27,7 +31,7 @@
     fleet_duties(const settings::instance_settings& settings,
                  std::uint64_t incarnation,
                  const std::optional<platform_access>& access, tell_hook tell,
-                 settings_applier::applied_hook applied);
+                 applied_hook applied);
     fleet_duties(const fleet_duties&) = delete;
     fleet_duties& operator=(const fleet_duties&) = delete;
     ~fleet_duties();
@@ -43,13 +47,16 @@
     [[nodiscard]] membership::entry_choice
     entry(const core::workspace_id& workspace) const;
     [[nodiscard]] peer::members_ptr members() const;
-    [[nodiscard]] std::shared_ptr<const versions> settings_in_force() const;
+    [[nodiscard]] std::shared_ptr<const platform::settings_in_force>
+    settings_in_force() const;
     [[nodiscard]] peer::link_counts counts() const;
 
 private:
     [[nodiscard]] peer::control_settings
     control_settings(const core::endpoint& callers) const;
     [[nodiscard]] peer::control_hooks control_hooks();
+    [[nodiscard]] platform::settings_duty_hooks settings_hooks();
+    void put_in_force(const platform::settings_in_force& next);
     void start_registrar(const core::endpoint& callers);
 
     settings::instance_settings settings_;
@@ -57,7 +64,9 @@
     std::optional<platform_access> access_;
     tell_hook tell_;
     core::latest_value<std::vector<membership::member>> members_;
-    settings_applier applier_;
+    applied_hook applied_;
+    core::latest_value<platform::settings_in_force> in_force_;
+    platform::settings_duty settings_duty_;
     std::unique_ptr<settings_reader> reader_;
     std::unique_ptr<peer::control_duty> control_;
     std::unique_ptr<registrar> registrar_;
--- a/oriolefall/daemon/instance.cpp
+++ b/oriolefall/daemon/instance.cpp
@@ -16,7 +16,7 @@
     if (!options.deployment)
         return std::make_shared<const decision::routing_table>();
     return std::make_shared<const decision::routing_table>(
-        settings::make_routing_table(*options.deployment, 1));
+        settings::make_routing_table(*options.deployment, 0));
 }
 
 decider_thread_settings decider_settings(const instance_options& options)
@@ -253,8 +253,8 @@
     std::ranges::transform(*members, std::back_inserter(text["members"]),
                            to_json);
     const auto in_force = fleet_->settings_in_force();
-    for (const settings::path_version& object : *in_force)
-        text["settings"][object.path] = object.version;
+    for (const settings::team_version& team : in_force->teams)
+        text["settings"][team.team.value()] = team.version;
     return text.dump();
 }
 
--- a/oriolefall/daemon/settings_reader.cpp
+++ b/oriolefall/daemon/settings_reader.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <optional>
 #include <utility>
 #include <variant>
 
@@ -12,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t news_capacity = 256;
 constexpr std::size_t role_capacity = 64;
 
 std::vector<settings::tree_object> objects_of(const platform::store_news& news)
@@ -35,29 +33,18 @@
 struct settings_reader::reading
 {
     reading(const platform::client_settings& settings, const give_hook& give)
-        : news(news_capacity), client(settings),
+        : client(settings),
           reader(
-              std::in_place, platform::reader_settings{},
-              client.as_object_store(), [this] { client.stop(); }, news),
-          thread("settings-news", [this, give] {
-              while (const auto told = news.pop())
-                  give(objects_of(*told));
-          })
+              platform::reader_settings{}, client.as_object_store(),
+              [this] { client.stop(); },
+              [give](const platform::store_news& news) {
+                  give(objects_of(news));
+              })
     {
     }
 
-    ~reading()
-    {
-        reader.reset();
-    }
-
-    reading(const reading&) = delete;
-    reading& operator=(const reading&) = delete;
-
-    platform::store_news_ring news;
     platform::client client;
-    std::optional<platform::reader> reader;
-    core::duty_thread thread;
+    platform::reader reader;
 };
 
 settings_reader::settings_reader(platform::client_settings client,
--- a/oriolefall/daemon/settings_reader.hpp
+++ b/oriolefall/daemon/settings_reader.hpp
@@ -14,7 +14,7 @@
 namespace oriolefall::daemon {
 
 /// Reads the settings tree from the platform while this instance has that
-/// role. One thread follows the role, one passes on what a reader tells.
+/// role. One thread follows the role, one reads.
 class settings_reader
 {
 public:
@@ -30,7 +30,7 @@
     void set_role(bool is_reader);
 
 private:
-    /// A reader of the platform and the thread that passes on its news.
+    /// A client of the platform and the reader that uses it.
     struct reading;
 
     void follow_role();
