Add settings and move commands

Cause: operators change settings and steer moves through the program. Change: settings get, put, list and watch, and move create, show, list, pause, resume and abort, directly at the platform's object API. What could not be had is one line on standard error and status 1.

--- a/programs/oriolefall/commands.cpp
+++ b/programs/oriolefall/commands.cpp
@@ -4,7 +4,8 @@
 
 std::vector<command> all_commands()
 {
-    return {serve_command(), check_command(), entry_command(), status_command(),
+    return {serve_command(),  check_command(),    entry_command(),
+            status_command(), settings_command(), move_command(),
             explain_command()};
 }
 
--- a/programs/oriolefall/commands.hpp
+++ b/programs/oriolefall/commands.hpp
@@ -11,7 +11,9 @@
 [[nodiscard]] command check_command();
 [[nodiscard]] command entry_command();
 [[nodiscard]] command explain_command();
+[[nodiscard]] command move_command();
 [[nodiscard]] command serve_command();
+[[nodiscard]] command settings_command();
 [[nodiscard]] command status_command();
 
 /// All subcommands, in the order of the help.
--- /dev/null
+++ b/programs/oriolefall/move_command.cpp
@@ -0,0 +1,184 @@
+#include "oriolefall/platform/move_store.hpp"
+#include "oriolefall/platform/move_text.hpp"
+#include "programs/oriolefall/commands.hpp"
+#include "programs/oriolefall/platform_access.hpp"
+#include "programs/oriolefall/settings_file.hpp"
+#include "programs/oriolefall/subcommands.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace oriolefall::programs {
+
+namespace {
+
+namespace po = boost::program_options;
+using platform::move_store;
+
+core::team_name team_of(const po::variables_map& values)
+{
+    return core::team_name(values["team"].as<std::string>());
+}
+
+int print_version(const std::string& name, std::uint64_t version)
+{
+    std::cout << nlohmann::json{{"move", name}, {"version", version}}.dump()
+              << '\n';
+    return exit_done;
+}
+
+int report_ended(const std::string& action, const platform::move_ended& ended)
+{
+    return report_failure(action, "the move has ended: " +
+                                      std::string(to_string(ended.phase)));
+}
+
+/// Tells how a write of `name` ended; `file` holds the text of a new move.
+int report_written(const std::string& action, const std::string& name,
+                   const std::string& file,
+                   const platform::move_write_result& result)
+{
+    if (const auto* done = std::get_if<platform::written>(&result))
+        return print_version(name, done->version);
+    if (const auto* faulty = std::get_if<platform::invalid_move>(&result)) {
+        print_faults(std::cout, file, faulty->faults);
+        return exit_bad_input;
+    }
+    if (const auto* over = std::get_if<platform::move_ended>(&result))
+        return report_ended(action, *over);
+    if (const auto* refused = std::get_if<platform::team_refused>(&result))
+        return report_failure(
+            action, "not accepted: " + std::string(to_string(refused->reason)));
+    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+        return report_unavailable(action, *failed);
+    if (std::holds_alternative<platform::not_found>(result))
+        return report_failure(action, name + ": there is no such move");
+    if (std::holds_alternative<platform::conflict>(result))
+        return report_failure(action,
+                              "conflict: the move exists, or was changed at "
+                              "the same moment");
+    return report_failure(action,
+                          "the change may have been made: read it back");
+}
+
+int run_create(const po::variables_map& values, const platform_access& access)
+{
+    const auto& file = values["file"].as<std::string>();
+    const auto text = read_file(file);
+    if (!text)
+        return report_bad_input("move create", file + ": cannot be read");
+    const auto client = make_client(access);
+    move_store moves(client->as_object_store(), access.team_keys);
+    return report_written("move create", file, file,
+                          moves.create(acting_as(team_of(values)), *text));
+}
+
+int run_show(const po::variables_map& values, const platform_access& access)
+{
+    const auto& name = values["name"].as<std::string>();
+    const auto client = make_client(access);
+    move_store moves(client->as_object_store(), access.team_keys);
+    const auto result = moves.show(team_of(values), core::move_name(name));
+    if (const auto* found = std::get_if<platform::stored_move>(&result)) {
+        std::cout << platform::print_move(found->object) << '\n';
+        return exit_done;
+    }
+    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+        return report_unavailable("move show", *failed);
+    if (const auto* faulty = std::get_if<platform::invalid_move>(&result)) {
+        print_faults(std::cout, name, faulty->faults);
+        return exit_failed;
+    }
+    return report_failure("move show", name + ": there is no such move");
+}
+
+int run_list(const po::variables_map&, const platform_access& access)
+{
+    const auto client = make_client(access);
+    move_store moves(client->as_object_store(), access.team_keys);
+    const auto result = moves.list();
+    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+        return report_unavailable("move list", *failed);
+    const auto& all = std::get<std::vector<platform::stored_move>>(result);
+    std::ranges::for_each(all, [](const platform::stored_move& each) {
+        const move::move_object& object = each.object;
+        std::cout << nlohmann::json{{"team", object.team.value()},
+                                    {"move", object.name.value()},
+                                    {"version", each.version},
+                                    {"phase", to_string(object.phase)},
+                                    {"percent", object.percent},
+                                    {"paused", object.paused}}
+                         .dump()
+                  << '\n';
+    });
+    return exit_done;
+}
+
+const std::string key_note =
+    "\nNeeds --instance; the team's key is taken from the variable\n"
+    "ORIOLEFALL_TEAM_KEY.";
+
+/// Adds the team in whose subtree the move stands.
+subcommand with_team(subcommand action)
+{
+    action.usage += " --team TEAM";
+    action.options.add_options()("team", po::value<std::string>()->required(),
+                                 "team whose move it is");
+    return action;
+}
+
+/// The action that asks the holder of a move for `wish`.
+subcommand wish_action(const std::string& name, const std::string& description,
+                       move::wish wish)
+{
+    const auto run = [name, wish](const po::variables_map& values,
+                                  const platform_access& access) {
+        const auto& moved = values["name"].as<std::string>();
+        const auto client = make_client(access);
+        move_store moves(client->as_object_store(), access.team_keys);
+        return report_written("move " + name, moved, moved,
+                              moves.set_wish(acting_as(team_of(values)),
+                                             core::move_name(moved), wish));
+    };
+    return with_team({name, "NAME", description + key_note, {"name"}, run});
+}
+
+std::vector<subcommand> move_actions()
+{
+    const subcommand create{
+        "create",
+        "FILE",
+        "Accepts a move that a file describes, JSON with comments. From here "
+        "on its\nleaving backend servers get no new work." +
+            key_note,
+        {"file"},
+        run_create};
+    const subcommand show{
+        "show", "NAME", "Prints a move and its steps.", {"name"}, run_show};
+    const subcommand list{
+        "list", "", "Prints each move on a line.", {}, run_list};
+    return {with_team(create),
+            with_team(show),
+            list,
+            wish_action("pause", "Takes no further step of a move.",
+                        move::wish::pause),
+            wish_action("resume", "Goes on with a move that was paused.",
+                        move::wish::run),
+            wish_action("abort",
+                        "Gives work back to the leaving backend servers and "
+                        "none to the arriving ones.",
+                        move::wish::abort)};
+}
+
+} // namespace
+
+command move_command()
+{
+    return {"move", "create and steer moves between backend servers",
+            [](const std::vector<std::string>& arguments) {
+                return run_subcommand("move", move_actions(), arguments);
+            }};
+}
+
+} // namespace oriolefall::programs
--- /dev/null
+++ b/programs/oriolefall/subcommands.cpp
@@ -0,0 +1,95 @@
+#include "programs/oriolefall/subcommands.hpp"
+
+#include "programs/oriolefall/command.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <iostream>
+
+namespace oriolefall::programs {
+
+namespace {
+
+namespace po = boost::program_options;
+
+std::string usage_of(const std::string& command, const subcommand& action)
+{
+    return command + " " + action.name +
+           (action.usage.empty() ? "" : " " + action.usage) +
+           " (--platform ADDRESS:PORT | --instance FILE)";
+}
+
+void print_help(const std::string& command,
+                const std::vector<subcommand>& actions)
+{
+    std::cout << "Usage: oriolefall " << command << " ACTION ...\n\nActions:\n";
+    std::ranges::for_each(actions, [&](const subcommand& each) {
+        std::cout << "  oriolefall " << usage_of(command, each) << '\n';
+    });
+    std::cout << "\noriolefall " << command << " ACTION --help tells more.\n";
+}
+
+command_line line_of(const std::string& command, const subcommand& action)
+{
+    command_line line;
+    line.usage = usage_of(command, action);
+    line.description = action.description;
+    add_platform_options(line);
+    line.options.add(action.options);
+    std::ranges::for_each(action.arguments, [&](const std::string& name) {
+        line.positional_options.add_options()(name.c_str(),
+                                              po::value<std::string>());
+        line.positions.add(name.c_str(), 1);
+    });
+    return line;
+}
+
+std::string upper_case(std::string text)
+{
+    std::ranges::transform(text, text.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::toupper(letter));
+    });
+    return text;
+}
+
+int run_action(const std::string& command, const subcommand& action,
+               const std::vector<std::string>& arguments)
+{
+    const std::string name = command + " " + action.name;
+    const auto parsed = parse_command_line(line_of(command, action), arguments);
+    if (const auto* done = std::get_if<ended>(&parsed))
+        return done->exit_status;
+    const auto& values = std::get<po::variables_map>(parsed);
+    const auto missing =
+        std::ranges::find_if(action.arguments, [&](const std::string& each) {
+            return !values.contains(each);
+        });
+    if (missing != action.arguments.end())
+        return report_bad_input(name, upper_case(*missing) + " is missing");
+    const auto access = platform_access_of(values, name);
+    if (const auto* done = std::get_if<ended>(&access))
+        return done->exit_status;
+    return action.run(values, std::get<platform_access>(access));
+}
+
+} // namespace
+
+int run_subcommand(const std::string& command,
+                   const std::vector<subcommand>& actions,
+                   const std::vector<std::string>& arguments)
+{
+    if (arguments.empty())
+        return report_bad_input(command, "an action is missing");
+    const std::string& name = arguments.front();
+    if (name == "--help" || name == "-h") {
+        print_help(command, actions);
+        return exit_done;
+    }
+    const auto found = std::ranges::find(actions, name, &subcommand::name);
+    if (found == actions.end())
+        return report_bad_input(command, "there is no action \"" + name + "\"");
+    return run_action(command, *found,
+                      {arguments.begin() + 1, arguments.end()});
+}
+
+} // namespace oriolefall::programs
--- a/tests/cli/check_test.cpp
+++ b/tests/cli/check_test.cpp
@@ -1,46 +1,14 @@
 #include "tests/cli/program.hpp"
+#include "tests/cli/temporary_file.hpp"
 
 #include <algorithm>
-#include <cstdio>
-#include <fstream>
-#include <unistd.h>
 
 #include <criterion/criterion.h>
 
 using oriolefall::tests::program_result;
 using oriolefall::tests::run_program;
 using oriolefall::tests::source_file;
-
-namespace {
-
-/// A file of its own that is removed with this object.
-class temporary_file
-{
-public:
-    explicit temporary_file(const std::string& text)
-    {
-        const int handle = ::mkstemp(name_.data());
-        cr_assert_geq(handle, 0);
-        ::close(handle);
-        std::ofstream(name_) << text;
-    }
-    temporary_file(const temporary_file&) = delete;
-    temporary_file& operator=(const temporary_file&) = delete;
-    ~temporary_file()
-    {
-        std::remove(name_.c_str());
-    }
-
-    [[nodiscard]] const std::string& name() const
-    {
-        return name_;
-    }
-
-private:
-    std::string name_ = "/tmp/oriolefall-check-XXXXXX";
-};
-
-} // namespace
+using oriolefall::tests::temporary_file;
 
 Test(check, examples_are_sound)
 {
