--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -227,6 +227,31 @@
     cr_assert_eq(net.steps_back(), 0);
 }
 
+// Members of a lost failure domain are found in rounds of `suspect_after` and
+// `dead_after`: those that others are linked to first, then those that take
+// their place in the choice of peers. Two rounds for six.
+Test(member_table, a_lost_failure_domain_is_known_to_all_within_forty_seconds)
+{
+    const auto fleet = make_fleet(90, 5, 3);
+    network net(fleet, 1);
+    net.run(absl::Seconds(10));
+    const core::location lost = fleet.front().location;
+    for (std::size_t at = 0; at < fleet.size(); ++at) {
+        if (fleet[at].location == lost)
+            net.crash(at);
+    }
+    net.run(absl::Seconds(40));
+    for (std::size_t at = 0; at < fleet.size(); ++at) {
+        if (fleet[at].location == lost)
+            continue;
+        for (const member& known : net.table(at).members()) {
+            const bool is_lost = known.location == lost;
+            cr_assert_eq(known.state,
+                         is_lost ? member_state::dead : member_state::live);
+        }
+    }
+}
+
 Test(member_table, a_restarted_instance_learns_all_from_one_seed)
 {
     const auto fleet = make_fleet(9, 3, 1);
