Refuse control characters that callers put into names

Cause: the HTTP library percent-decodes header values, so a key or workspace could hold a line end. The call to the backend server then leaves such a header out: a request that must run once went on without its key. A chunked body up to 64 KiB above the limit was also taken. Change: workspace, class, key, content type and path with a control character are 400; a chunked body above the limit is 413.

--- a/oriolefall/front/routes.cpp
+++ b/oriolefall/front/routes.cpp
@@ -6,6 +6,7 @@
 #include "oriolefall/front/error_reply.hpp"
 #include "oriolefall/front/http_reply.hpp"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/time/clock.h>
 
@@ -26,6 +27,7 @@
 constexpr const char* metrics_type = "text/plain; version=0.0.4";
 constexpr const char* plain_type = "text/plain";
 constexpr const char* engine_path = "/v1/chat/completions";
+constexpr int payload_too_large = 413;
 constexpr int service_unavailable = 503;
 /// Longest name of a workspace, class or key, in bytes.
 constexpr std::size_t max_name_bytes = 256;
@@ -44,6 +46,20 @@
     return [&request] { return request.progress(0, 0); };
 }
 
+bool has_control_character(std::string_view text)
+{
+    return std::ranges::any_of(text, [](char character) {
+        return absl::ascii_iscntrl(static_cast<unsigned char>(character));
+    });
+}
+
+/// Whether a header's value can be sent on as one. The library decodes what
+/// is percent-encoded in headers, so it may hold any byte.
+bool is_name(std::string_view text)
+{
+    return text.size() <= max_name_bytes && !has_control_character(text);
+}
+
 std::optional<core::idempotency_key> key_of(const httplib::Request& request)
 {
     const std::string value = request.get_header_value(key_header);
@@ -62,10 +78,13 @@
         return refusal{core::reason::unauthorized,
                        "the header X-Workspace is missing"};
     parsed.key = key_of(request);
-    const std::size_t key_bytes = parsed.key ? parsed.key->value().size() : 0;
-    if (std::max(key_bytes, parsed.workspace.value().size()) > max_name_bytes)
+    const std::string key = parsed.key ? parsed.key->value() : "";
+    const bool sound = is_name(parsed.workspace.value()) && is_name(key) &&
+                       is_name(request.get_header_value(class_header));
+    if (!sound)
         return refusal{core::reason::invalid_request,
-                       "X-Workspace or Idempotency-Key is too long"};
+                       "X-Workspace, X-Service-Class or Idempotency-Key is "
+                       "too long or has a control character"};
     parsed.body_bytes = static_cast<std::uint32_t>(request.body.size());
     return parsed;
 }
@@ -165,6 +184,8 @@
 void routes::answer_chat(const httplib::Request& request,
                          httplib::Response& response) const
 {
+    if (request.body.size() > settings_.max_body_bytes)
+        return refuse_body(response);
     auto decoded = parse_chat_request(request.body);
     if (const auto* fault = std::get_if<codec_error>(&decoded))
         return refuse({core::reason::invalid_request, fault->message},
@@ -194,6 +215,8 @@
 void routes::answer_service(const httplib::Request& request,
                             httplib::Response& response) const
 {
+    if (request.body.size() > settings_.max_body_bytes)
+        return refuse_body(response);
     const core::class_name name(request.matches[1].str());
     const auto parsed = parse_service(request, name);
     if (const auto* refused = std::get_if<refusal>(&parsed))
@@ -284,6 +307,10 @@
     const auto found = handlers_.find_class(name);
     if (!found || found->kind != core::call_kind::service)
         return unknown_class(name);
+    if (has_control_character(request.path) ||
+        !is_name(request.get_header_value("Content-Type")))
+        return refusal{core::reason::invalid_request,
+                       "the path or Content-Type has a control character"};
     if (!found->idempotent && !accepted->key)
         return refusal{core::reason::invalid_request,
                        "this class needs the header Idempotency-Key"};
@@ -313,6 +340,12 @@
                          handlers_.caller_gone);
 }
 
+void routes::refuse_body(httplib::Response& response) const
+{
+    refuse({core::reason::invalid_request, "the body is too large"}, response);
+    response.status = payload_too_large;
+}
+
 void routes::refuse(const refusal& refusal, httplib::Response& response) const
 {
     handlers_.refused(refusal.reason);
--- a/oriolefall/front/routes.hpp
+++ b/oriolefall/front/routes.hpp
@@ -57,6 +57,8 @@
     /// Hands the request on and gives what reads its answer.
     [[nodiscard]] std::variant<answer_reader, refusal>
     submit(const core::request& request, core::payload payload) const;
+    /// As `refuse`, for a body above the limit that came in chunks.
+    void refuse_body(httplib::Response& response) const;
     /// Counts and answers a request that the decisions never saw.
     void refuse(const refusal& refusal, httplib::Response& response) const;
 
--- a/tests/front/limits_test.cpp
+++ b/tests/front/limits_test.cpp
@@ -142,6 +142,20 @@
     expect_alive(instance);
 }
 
+Test(limits, chunked_body_just_above_the_limit_is_413)
+{
+    front::front_settings settings;
+    settings.max_body_bytes = 1000;
+    fake_instance instance(say_hello, settings);
+    raw_caller caller(instance.port());
+    caller.send("POST /v1/chat/completions HTTP/1.1\r\n"
+                "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3e9\r\n" +
+                std::string(1001, ' ') + "\r\n0\r\n\r\n");
+    const std::string answer = caller.read_all();
+    cr_assert(answer.starts_with("HTTP/1.1 413 "), "%s", answer.c_str());
+}
+
 Test(limits, compressed_body_is_not_inflated)
 {
     fake_instance instance(say_hello);
--- a/tests/front/paths_test.cpp
+++ b/tests/front/paths_test.cpp
@@ -102,3 +102,31 @@
     const fake_instance second(answer_body);
     cr_assert_neq(first.port(), second.port());
 }
+
+Test(paths, encoded_control_characters_are_not_sent_on)
+{
+    // The library decodes header values; a key with a line end in it would
+    // be left out on the way to a service that must run once.
+    fake_instance instance(answer_body);
+    const std::string path = "/v1/services/payments";
+    const httplib::Headers key{{"Idempotency-Key", "k1"}};
+    cr_assert_eq(post(instance, path, key)->status, 201);
+    const auto status_with = [&](const char* name, const char* value) {
+        httplib::Headers headers{{name, value}};
+        headers.emplace("Idempotency-Key", "k1");
+        return post(instance, path, headers)->status;
+    };
+    cr_assert_eq(
+        post(instance, path, {{"Idempotency-Key", "k%0d%0aX: y"}})->status,
+        400);
+    cr_assert_eq(status_with("X-Service-Class", "a%01"), 400);
+    cr_assert_eq(post(instance, path + "/a%01b", key)->status, 400);
+    // No route takes a path with a line end.
+    cr_assert_eq(post(instance, path + "/a%0d%0ab", key)->status, 404);
+    httplib::Client client("127.0.0.1", instance.port());
+    const auto result =
+        client.Post(path, {{"X-Workspace", "a%0ab"}, {"Idempotency-Key", "k"}},
+                    "{}", "application/json");
+    cr_assert_eq(result->status, 400);
+    cr_assert_eq(instance.refusals(core::reason::invalid_request), 5);
+}
