Carry moves at the instances: orders, figures, drain

Cause: moves were accepted and their leaving servers marked, but no instance took a step: nobody held the lease, ordered models or judged attainment.

--- a/oriolefall/daemon/fleet_duties.cpp
+++ b/oriolefall/daemon/fleet_duties.cpp
@@ -162,7 +162,7 @@
 
 void fleet_duties::put_in_force(const platform::settings_in_force& next)
 {
-    applied_(next.table);
+    applied_(next);
     in_force_.set(std::make_shared<const platform::settings_in_force>(next));
     const std::size_t faults = next.faults.size();
     tell_(observe::counter_added{"settings_applied_total", "", ""});
--- a/oriolefall/daemon/fleet_duties.hpp
+++ b/oriolefall/daemon/fleet_duties.hpp
@@ -19,7 +19,7 @@
 namespace oriolefall::daemon {
 
 /// Puts a routing table in force; called on the settings thread, may wait.
-using applied_hook = std::function<void(decision::routing_table_ptr)>;
+using applied_hook = std::function<void(const platform::settings_in_force&)>;
 
 /// What one instance does to take part in the fleet: the control duty with
 /// its links, the settings in force, and, where there is a platform, its
--- a/oriolefall/daemon/instance.cpp
+++ b/oriolefall/daemon/instance.cpp
@@ -72,10 +72,13 @@
 {
     if (front_)
         front_->stop();
+    // From here on a duty stops before those that it tells or asks; each
+    // stays in memory for those that still tell it.
+    if (moves_)
+        moves_->stop();
     fleet_.reset();
-    claims_.reset();
-    // The decider stops first: it starts calls, which the lanes then end.
     decider_.stop();
+    claims_.reset();
     lanes_.reset();
 }
 
@@ -97,7 +100,10 @@
             });
     fleet_ = std::make_unique<fleet_duties>(
         options_.settings, incarnation_, access, tell,
-        [this](const decision::routing_table_ptr& table) { apply(table); });
+        [this](const platform::settings_in_force& next) { apply(next); });
+    if (access)
+        moves_ = std::make_unique<move_duties>(
+            *access, [this] { return fleet_->members(); });
     decider_.start(make_actions());
     front_ = std::make_unique<front::server>(front_settings(options_.settings),
                                              make_handlers());
@@ -105,10 +111,20 @@
            fleet_->start({options_.settings.listen.address, port()});
 }
 
-void instance::apply(const decision::routing_table_ptr& table)
+void instance::apply(const platform::settings_in_force& next)
 {
-    table_.set(table);
-    decider_.tell(decision::table_applied{table});
+    table_.set(next.table);
+    decider_.tell(decision::table_applied{next.table});
+    if (moves_)
+        moves_->apply({next.moves, next.table});
+}
+
+void instance::record(observe::record what)
+{
+    const auto* end = std::get_if<observe::request_finished>(&what);
+    if (end != nullptr && moves_)
+        moves_->note(*end);
+    recorder_.tell(std::move(what));
 }
 
 std::uint16_t instance::port() const
@@ -166,24 +182,22 @@
 
 action_hooks instance::make_actions()
 {
-    return {
-        .start_call =
-            [this](backend::call_order order) {
-                return lanes_->try_start(std::move(order));
-            },
-        .cancel_call = [this](core::call_id id) { lanes_->cancel(id); },
-        .claim_key =
-            [this](const decision::claim_key& claim) {
-                return claims_ && claims_->submit(claim);
-            },
-        .record_outcome =
-            [this](const decision::record_outcome& outcome) {
-                if (claims_ && !claims_->submit(outcome))
-                    recorder_.tell(observe::counter_added{
-                        "claim_outcomes_total", "result", "no_room"});
-            },
-        .tell =
-            [this](observe::record what) { recorder_.tell(std::move(what)); }};
+    return {.start_call =
+                [this](backend::call_order order) {
+                    return lanes_->try_start(std::move(order));
+                },
+            .cancel_call = [this](core::call_id id) { lanes_->cancel(id); },
+            .claim_key =
+                [this](const decision::claim_key& claim) {
+                    return claims_ && claims_->submit(claim);
+                },
+            .record_outcome =
+                [this](const decision::record_outcome& outcome) {
+                    if (claims_ && !claims_->submit(outcome))
+                        recorder_.tell(observe::counter_added{
+                            "claim_outcomes_total", "result", "no_room"});
+                },
+            .tell = [this](observe::record what) { record(std::move(what)); }};
 }
 
 backend::lane_hooks instance::make_lane_hooks()
--- a/oriolefall/daemon/instance.hpp
+++ b/oriolefall/daemon/instance.hpp
@@ -7,6 +7,7 @@
 #include "oriolefall/daemon/decider_thread.hpp"
 #include "oriolefall/daemon/fleet_duties.hpp"
 #include "oriolefall/daemon/instance_options.hpp"
+#include "oriolefall/daemon/move_duties.hpp"
 #include "oriolefall/daemon/request_ids.hpp"
 #include "oriolefall/front/server.hpp"
 #include "oriolefall/observe/recorder.hpp"
@@ -56,7 +57,8 @@
     [[nodiscard]] front::entry_answer
     entry(const core::workspace_id& workspace) const;
     [[nodiscard]] std::string status() const;
-    void apply(const decision::routing_table_ptr& table);
+    void apply(const platform::settings_in_force& next);
+    void record(observe::record what);
 
     instance_options options_;
     std::uint64_t incarnation_;
@@ -68,6 +70,7 @@
     std::unique_ptr<backend::lane_pool> lanes_;
     std::unique_ptr<claim_duty> claims_;
     std::unique_ptr<fleet_duties> fleet_;
+    std::unique_ptr<move_duties> moves_;
     std::unique_ptr<front::server> front_;
 };
 
--- a/oriolefall/platform/settings_duty.cpp
+++ b/oriolefall/platform/settings_duty.cpp
@@ -51,9 +51,11 @@
     settings::assembled whole = settings::assemble(objects);
     decision::routing_table table =
         settings::make_routing_table(whole.deployment, tree.changes());
-    apply_moves(moves_in(tree, whole.faults), table);
+    auto moves = moves_in(tree, whole.faults);
+    apply_moves(moves, table);
     return {std::make_shared<const decision::routing_table>(std::move(table)),
-            tree.digest(), tree.team_versions(), std::move(whole.faults)};
+            tree.digest(), tree.team_versions(), std::move(moves),
+            std::move(whole.faults)};
 }
 
 settings_duty::settings_duty(std::size_t capacity, settings_duty_hooks hooks)
--- a/oriolefall/platform/settings_duty.hpp
+++ b/oriolefall/platform/settings_duty.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/decision/event.hpp"
+#include "oriolefall/move/move_object.hpp"
 #include "oriolefall/platform/reader.hpp"
 #include "oriolefall/settings/assembly.hpp"
 #include "oriolefall/settings/replica.hpp"
@@ -49,6 +50,8 @@
     /// Equal at instances that have the same versions in force.
     std::uint64_t digest = 0;
     std::vector<settings::team_version> teams;
+    /// Moves in the tree, those that have ended included.
+    std::vector<move::move_object> moves;
     /// What was left out of force, and why.
     std::vector<settings::tree_fault> faults;
 };
