Announce at the start and on leaving; only readers list the instances

Cause: docs/CAPACITY.md: every instance announced itself and read the whole list each 2.5 to 5 s: at 440 instances 117 writes and 117 reads a second at the platform and 15 KB/s at each instance, beyond its 2 KB/s.

--- a/oriolefall/daemon/fleet_duties.cpp
+++ b/oriolefall/daemon/fleet_duties.cpp
@@ -61,17 +61,16 @@
 {
     control_ = std::make_unique<peer::control_duty>(control_settings(callers),
                                                     control_hooks());
-    if (access_) {
-        const auto give = [this](std::vector<settings::tree_object> objects) {
-            return control_->give(peer::settings_read{std::move(objects)});
-        };
-        reader_ = std::make_unique<settings_reader>(
-            client_settings_of(*access_, "settings"), give);
-    }
+    if (access_)
+        make_platform_duties();
     if (!control_->start())
         return false;
-    if (access_)
-        start_registrar(callers);
+    if (registrar_)
+        registrar_->start({.id = settings_.instance,
+                           .endpoint = callers,
+                           .peer_port = control_->port(),
+                           .location = settings_.location,
+                           .leaving = false});
     return true;
 }
 
@@ -142,6 +141,8 @@
     hooks.reader_role_changed = [this](bool is_reader) {
         if (reader_)
             reader_->set_role(is_reader);
+        if (registrar_)
+            registrar_->set_role(is_reader);
     };
     hooks.other_message = [](const peer::peer_message&) {};
     return hooks;
@@ -175,15 +176,15 @@
                                          " parts left out for faults")});
 }
 
-void fleet_duties::start_registrar(const core::endpoint& callers)
+void fleet_duties::make_platform_duties()
 {
-    const platform::listed_instance self{.id = settings_.instance,
-                                         .endpoint = callers,
-                                         .peer_port = control_->port(),
-                                         .location = settings_.location,
-                                         .leaving = false};
+    const auto give = [this](std::vector<settings::tree_object> objects) {
+        return control_->give(peer::settings_read{std::move(objects)});
+    };
+    reader_ = std::make_unique<settings_reader>(
+        client_settings_of(*access_, "settings"), give);
     registrar_ = std::make_unique<registrar>(
-        registrar_settings{.self = self}, *access_,
+        registrar_settings{}, *access_,
         [this](const std::vector<platform::listed_instance>& listed) {
             control_->give(to_event(listed));
         });
--- a/oriolefall/daemon/fleet_duties.hpp
+++ b/oriolefall/daemon/fleet_duties.hpp
@@ -57,7 +57,8 @@
     [[nodiscard]] peer::control_hooks control_hooks();
     [[nodiscard]] platform::settings_duty_hooks settings_hooks();
     void put_in_force(const platform::settings_in_force& next);
-    void start_registrar(const core::endpoint& callers);
+    /// Before the control duty starts, which tells them of their role.
+    void make_platform_duties();
 
     settings::instance_settings settings_;
     std::uint64_t incarnation_;
--- a/oriolefall/daemon/registrar.cpp
+++ b/oriolefall/daemon/registrar.cpp
@@ -1,7 +1,9 @@
 #include "oriolefall/daemon/registrar.hpp"
 
+#include "oriolefall/core/clock.hpp"
 #include "oriolefall/platform/backoff.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -12,45 +14,76 @@
 /// Share of the interval that is drawn at random, so that instances started
 /// together do not call together.
 constexpr double jitter_share = 0.5;
+constexpr std::size_t order_capacity = 16;
 
 } // namespace
 
-registrar::registrar(registrar_settings settings, const platform_access& access,
-                     listed_hook listed)
-    : settings_(std::move(settings)), listed_(std::move(listed)),
+registrar::registrar(const registrar_settings& settings,
+                     const platform_access& access, listed_hook listed)
+    : settings_(settings), listed_(std::move(listed)),
       client_(client_settings_of(access, "registrar")),
-      store_(client_.as_object_store()), thread_("registrar", [this] { run(); })
+      store_(client_.as_object_store()), orders_(order_capacity)
 {
 }
 
 registrar::~registrar()
 {
-    stop_.stop();
+    orders_.close();
     client_.stop();
-    thread_.join();
+    thread_.reset();
+}
+
+void registrar::start(platform::listed_instance self)
+{
+    self_ = std::move(self);
+    thread_.emplace("registrar", [this] { run(); });
 }
 
 void registrar::leave()
 {
-    leaving_ = true;
+    orders_.try_push(leave_order{});
+}
+
+void registrar::set_role(bool is_reader)
+{
+    orders_.try_push(role_order{is_reader});
 }
 
 void registrar::run()
 {
-    absl::Duration pause;
-    do {
-        announce();
-        list();
-        const double drawn = platform::draw_uniform();
-        pause = settings_.interval * (1.0 - jitter_share * drawn);
-    } while (stop_.wait(pause));
+    while (true) {
+        const absl::Time now = core::monotonic_now();
+        if (now >= announce_at_)
+            announce();
+        if (is_reader_ && now >= list_at_)
+            list();
+        const absl::Time next =
+            is_reader_ ? std::min(announce_at_, list_at_) : announce_at_;
+        const auto got = orders_.pop_until(core::to_steady(next));
+        if (std::holds_alternative<core::ring_closed>(got))
+            return;
+        if (const auto* some = std::get_if<order>(&got))
+            std::visit([this](const auto& one) { take(one); }, *some);
+    }
+}
+
+void registrar::take(const leave_order&)
+{
+    self_.leaving = true;
+    announce_at_ = absl::InfinitePast();
+}
+
+void registrar::take(const role_order& order)
+{
+    is_reader_ = order.is_reader;
 }
 
 void registrar::announce()
 {
-    platform::listed_instance self = settings_.self;
-    self.leaving = leaving_;
-    static_cast<void>(store_.announce(self));
+    const auto told = store_.announce(self_);
+    const bool done = std::holds_alternative<platform::written>(told);
+    announce_at_ =
+        after(done ? settings_.announce_interval : settings_.list_interval);
 }
 
 void registrar::list()
@@ -59,6 +92,13 @@
     using list_type = std::vector<platform::listed_instance>;
     if (auto* instances = std::get_if<list_type>(&listed))
         listed_(std::move(*instances));
+    list_at_ = after(settings_.list_interval);
+}
+
+absl::Time registrar::after(absl::Duration interval) const
+{
+    const double drawn = platform::draw_uniform();
+    return core::monotonic_now() + interval * (1.0 - jitter_share * drawn);
 }
 
 } // namespace oriolefall::daemon
