--- a/bench/commands.hpp
+++ b/bench/commands.hpp
@@ -30,6 +30,8 @@
 int load_command(std::span<const std::string> words);
 /// Measures what control costs each instance of a fleet.
 int fleet_command(std::span<const std::string> words);
+/// Starts a fleet on loopback, replays a trace against it and stops it.
+int demo_command(std::span<const std::string> words);
 
 } // namespace oriolefall::bench
 
--- a/bench/load_command.cpp
+++ b/bench/load_command.cpp
@@ -9,8 +9,8 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdlib>
 #include <iostream>
-#include <stdexcept>
 
 namespace oriolefall::bench {
 
@@ -74,30 +74,30 @@
         const auto loaded = load_trace(arguments.trace_path);
         if (const auto* error = std::get_if<trace_error>(&loaded))
             return report_trace_error(arguments.trace_path, *error);
-        return report_load(arguments.settings, std::get<trace>(loaded),
-                           engines);
+        const load_run run =
+            measure_load(arguments.settings, std::get<trace>(loaded), engines);
+        print_table(std::cerr, run.rows, run.length);
+        print_lines(std::cout, run.rows, run.length);
+        return EXIT_SUCCESS;
     } catch (const options::error& error) {
         std::cerr << "oriolefall-bench load: " << error.what() << '\n';
         return exit_wrong_use;
     }
 }
 
-int report_load(const load_settings& settings, const trace& replayed,
-                const std::vector<core::endpoint>& engines)
+load_run measure_load(const load_settings& settings, const trace& replayed,
+                      const std::vector<core::endpoint>& engines)
 {
     if (!replayed.faults.empty())
         std::cerr << "the faults of the trace are not applied\n";
     const engine_work before = read_engine_work(engines);
-    const std::vector<load_sample> samples = run_load(settings, replayed);
+    load_run run;
+    run.samples = run_load(settings, replayed);
     const engine_work work = read_engine_work(engines) - before;
-    const auto rows = make_load_rows(replayed, samples, work);
-    const absl::Duration length =
-        replayed.arrivals.empty()
-            ? absl::ZeroDuration()
-            : replayed.arrivals.back().at / settings.speed;
-    print_table(std::cerr, rows, length);
-    print_lines(std::cout, rows, length);
-    return 0;
+    run.rows = make_load_rows(replayed, run.samples, work);
+    if (!replayed.arrivals.empty())
+        run.length = replayed.arrivals.back().at / settings.speed;
+    return run;
 }
 
 } // namespace oriolefall::bench
--- a/bench/local_fleet.cpp
+++ b/bench/local_fleet.cpp
@@ -18,6 +18,11 @@
 /// Beyond the slots and the queue of a stand-in, for its controls.
 constexpr std::uint32_t spare_threads = 16;
 
+std::string instance_name(std::size_t index)
+{
+    return core::concat("entry-", index + 1);
+}
+
 std::string make_folder()
 {
     std::string pattern =
@@ -49,7 +54,9 @@
                 "--id",
                 server.id.value(),
                 "--threads",
-                core::concat(threads)};
+                core::concat(threads),
+                "--delay-ms",
+                core::concat(absl::ToInt64Milliseconds(speed.service_time))};
     std::vector<std::string> words{
         "engine",
         "--port",
@@ -75,14 +82,6 @@
     return words;
 }
 
-std::uint16_t await_port(child_process& process, const std::string& name)
-{
-    const std::uint16_t port = process.await_port();
-    if (port == 0)
-        throw std::runtime_error("did not start: " + name);
-    return port;
-}
-
 } // namespace
 
 local_fleet::local_fleet(local_fleet_settings settings)
@@ -116,8 +115,7 @@
         servers_.push_back(start(stand_in_words(each), each.server.id.value()));
     for (std::size_t i = 0; i < servers_.size(); ++i) {
         core::backend_server& server = settings_.header.servers[i].server;
-        server.endpoint = {loopback,
-                           await_port(*servers_[i], server.id.value())};
+        server.endpoint = await_endpoint(*servers_[i], server.id.value());
     }
 }
 
@@ -127,7 +125,7 @@
         write_file("deployment.json", print_deployment(settings_.header));
     for (std::size_t i = 0; i < settings_.instances; ++i) {
         local_instance instance;
-        instance.id = core::concat("entry-", i + 1);
+        instance.id = instance_name(i);
         instance.location = settings_.header.location;
         instance.max_connections = settings_.max_connections;
         instance.backend_lanes = settings_.backend_lanes;
@@ -138,8 +136,19 @@
             start({"serve", "--instance", file, "--deployment", deployment},
                   instance.id));
     }
-    for (const auto& process : instances_)
-        entries_.push_back({loopback, await_port(*process, "instance")});
+    for (std::size_t i = 0; i < instances_.size(); ++i)
+        entries_.push_back(await_endpoint(*instances_[i], instance_name(i)));
+}
+
+core::endpoint local_fleet::await_endpoint(child_process& process,
+                                           const std::string& name) const
+{
+    const std::uint16_t port = process.await_port();
+    if (port != 0)
+        return {loopback, port};
+    std::ifstream log(folder_ + "/" + name + ".log");
+    const std::string said{std::istreambuf_iterator<char>(log), {}};
+    throw std::runtime_error("did not start: " + name + ": " + said);
 }
 
 std::string local_fleet::write_file(const std::string& name,
@@ -163,4 +172,21 @@
         child_command{std::move(words), folder_ + "/" + name + ".log"});
 }
 
+std::string own_folder()
+{
+    return std::filesystem::read_symlink("/proc/self/exe")
+        .parent_path()
+        .string();
+}
+
+std::vector<core::endpoint> engines_of(const local_fleet& fleet)
+{
+    std::vector<core::endpoint> engines;
+    for (const trace_server& each : fleet.header().servers) {
+        if (each.server.kind == core::call_kind::generate)
+            engines.push_back(each.server.endpoint);
+    }
+    return engines;
+}
+
 } // namespace oriolefall::bench
--- a/bench/local_fleet.hpp
+++ b/bench/local_fleet.hpp
@@ -75,6 +75,9 @@
 private:
     void start_servers();
     void start_instances();
+    /// Throws what the process said when it did not start.
+    [[nodiscard]] core::endpoint await_endpoint(child_process& process,
+                                                const std::string& name) const;
     [[nodiscard]] std::string write_file(const std::string& name,
                                          const std::string& text) const;
     [[nodiscard]] std::unique_ptr<child_process>
@@ -87,6 +90,12 @@
     std::vector<core::endpoint> entries_;
 };
 
+/// Folder of the running program.
+[[nodiscard]] std::string own_folder();
+
+/// The stand-in engines of a fleet.
+[[nodiscard]] std::vector<core::endpoint> engines_of(const local_fleet& fleet);
+
 } // namespace oriolefall::bench
 
 #endif
--- a/programs/bench/main.cpp
+++ b/programs/bench/main.cpp
@@ -37,6 +37,8 @@
          bench::make_traces_command},
         {"fleet", "measures what control costs each instance of a fleet",
          bench::fleet_command},
+        {"demo", "TRACE: starts a fleet on loopback and replays a trace",
+         bench::demo_command},
     };
 }
 
--- a/programs/stand_ins/main.cpp
+++ b/programs/stand_ins/main.cpp
@@ -119,9 +119,11 @@
     host_settings host;
     std::string id = "service";
     auto known = host_options(host);
-    known.add_options()("id", with_default(id), "name of the service");
+    std::uint32_t delay_ms = 0;
+    known.add_options()("id", with_default(id), "name of the service")(
+        "delay-ms", with_default(delay_ms), "time that each call takes");
     parse(given, known);
-    const service_server server(id, host);
+    const service_server server(id, host, delay_ms);
     return announce_and_wait(server.port());
 }
 
--- a/stand_ins/service_ledger.cpp
+++ b/stand_ins/service_ledger.cpp
@@ -6,8 +6,9 @@
 constexpr std::size_t command_capacity = 1024;
 } // namespace
 
-service_ledger::service_ledger()
-    : commands_(command_capacity), thread_("ledger", [this] { work(); })
+service_ledger::service_ledger(const service_faults& faults)
+    : faults_(faults), commands_(command_capacity),
+      thread_("ledger", [this] { work(); })
 {
 }
 
--- a/stand_ins/service_ledger.hpp
+++ b/stand_ins/service_ledger.hpp
@@ -49,7 +49,8 @@
 class service_ledger
 {
 public:
-    service_ledger();
+    /// `faults`: those in force at the start.
+    explicit service_ledger(const service_faults& faults);
     service_ledger(const service_ledger&) = delete;
     service_ledger& operator=(const service_ledger&) = delete;
     ~service_ledger();
--- a/stand_ins/service_server.cpp
+++ b/stand_ins/service_server.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-service_server::service_server(std::string id, const host_settings& host)
-    : id_(std::move(id)),
+service_server::service_server(std::string id, const host_settings& host,
+                               std::uint32_t delay_ms)
+    : id_(std::move(id)), ledger_(service_faults{.delay_ms = delay_ms}),
       host_(host, [this](httplib::Server& server) { add_routes(server); })
 {
 }
--- a/stand_ins/service_server.hpp
+++ b/stand_ins/service_server.hpp
@@ -14,7 +14,9 @@
 class service_server
 {
 public:
-    service_server(std::string id, const host_settings& host);
+    /// `delay_ms`: time that each call takes until a fault changes it.
+    service_server(std::string id, const host_settings& host,
+                   std::uint32_t delay_ms = 0);
 
     /// The port taken; 0 when it could not be had.
     [[nodiscard]] std::uint16_t port() const noexcept
