--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 format: deps
 	clang-format-16 -i $(SOURCES)
 
+demo: build
+	build/oriolefall-bench demo traces/demo.jsonl
+
 lint: build
 	printf '%s\n' $(UNITS) | xargs -P $(JOBS) -n 1 clang-tidy-16 -p build --quiet
 
--- a/bench/load_call.cpp
+++ b/bench/load_call.cpp
@@ -75,7 +75,10 @@
             return take_bytes({data, size});
         };
         const httplib::Result result = client.send(http);
-        finish(result.error() == httplib::Error::Success);
+        const bool sound = result.error() == httplib::Error::Success;
+        if (!sound)
+            outcome_.reason = httplib::to_string(result.error());
+        finish(sound);
         return std::move(outcome_);
     }
 
@@ -104,7 +107,9 @@
             events_.feed(bytes);
         else
             body_ += bytes;
-        left_ = elapsed() >= request_.gone_after;
+        const bool had_enough = request_.gone_after_tokens > 0 &&
+                                outcome_.tokens >= request_.gone_after_tokens;
+        left_ = had_enough || elapsed() >= request_.gone_after;
         return !left_;
     }
 
--- a/bench/load_call.hpp
+++ b/bench/load_call.hpp
@@ -33,6 +33,8 @@
     bool stream = true;
     /// The caller closes its connection so long after it asked.
     absl::Duration gone_after = absl::InfiniteDuration();
+    /// It also closes its connection after so many tokens; 0 for never.
+    std::uint32_t gone_after_tokens = 0;
     /// It gives up when nothing comes for so long.
     absl::Duration silence_limit = absl::Minutes(2);
     std::strong_ordering operator<=>(const load_request&) const = default;
@@ -56,7 +58,7 @@
 {
     load_ending ending = load_ending::cut;
     int status = 0;
-    /// Reason in the error, empty when there was none.
+    /// Reason in the error or what broke the connection; else empty.
     std::string reason;
     /// Number that the instance gave the request, empty when it gave none.
     std::string request_id;
--- a/bench/local_fleet.cpp
+++ b/bench/local_fleet.cpp
@@ -87,6 +87,7 @@
 local_fleet::local_fleet(local_fleet_settings settings)
     : settings_(std::move(settings)), folder_(make_folder())
 {
+    start_platform();
     start_servers();
     start_instances();
 }
@@ -95,6 +96,7 @@
 {
     instances_.clear();
     servers_.clear();
+    platform_.reset();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
@@ -109,6 +111,12 @@
     return status;
 }
 
+void local_fleet::start_platform()
+{
+    platform_ = start({"platform", "--port", "0"}, "platform");
+    platform_endpoint_ = await_endpoint(*platform_, "platform");
+}
+
 void local_fleet::start_servers()
 {
     for (const trace_server& each : settings_.header.servers)
@@ -127,6 +135,7 @@
         local_instance instance;
         instance.id = instance_name(i);
         instance.location = settings_.header.location;
+        instance.platform = platform_endpoint_;
         instance.max_connections = settings_.max_connections;
         instance.backend_lanes = settings_.backend_lanes;
         instance.address_lifetime = settings_.address_lifetime;
--- a/bench/local_fleet.hpp
+++ b/bench/local_fleet.hpp
@@ -65,6 +65,11 @@
     {
         return settings_.header.servers.at(index).server.endpoint;
     }
+    /// Where the stand-in of the platform listens.
+    [[nodiscard]] const core::endpoint& platform_endpoint() const noexcept
+    {
+        return platform_endpoint_;
+    }
     /// Stops the instances gracefully; the highest exit status.
     int stop_instances();
     [[nodiscard]] const std::string& folder() const noexcept
@@ -73,6 +78,7 @@
     }
 
 private:
+    void start_platform();
     void start_servers();
     void start_instances();
     /// Throws what the process said when it did not start.
@@ -85,6 +91,8 @@
 
     local_fleet_settings settings_;
     std::string folder_;
+    std::unique_ptr<child_process> platform_;
+    core::endpoint platform_endpoint_;
     std::vector<std::unique_ptr<child_process>> servers_;
     std::vector<std::unique_ptr<child_process>> instances_;
     std::vector<core::endpoint> entries_;
--- a/tests/system/entry_instance_test.cpp
+++ b/tests/system/entry_instance_test.cpp
@@ -154,11 +154,10 @@
         header.servers = {quick_engine("e1", 16), quick_engine("e2", 16)};
         bench::local_fleet fleet(fleet_of(header, 1));
         std::atomic<bool> killed = false;
-        outcomes =
-            send_all(fleet.entries()[0], requests, [&](std::string_view) {
-                if (!killed.exchange(true))
-                    fleet.server(0).send_signal(SIGKILL);
-            });
+        outcomes = send_all(fleet.entries()[0], requests, [&](std::size_t) {
+            if (!killed.exchange(true))
+                fleet.server(0).send_signal(SIGKILL);
+        });
         later = send_all(fleet.entries()[0], {requests[0]})[0];
     }
     for (std::size_t i = 0; i < callers; ++i)
@@ -183,7 +182,9 @@
         lost = send_all(entry, {booking("lost")})[0];
         served = send_all(entry, {booking("served")})[0];
         set_faults(service, R"({"refuse":true})");
-        refused = send_all(entry, {booking("refused")})[0];
+        load_request short_booking = booking("refused");
+        short_booking.service_class = core::class_name("short-booking");
+        refused = send_all(entry, {short_booking})[0];
         stats = stats_of(service);
     }
     cr_assert(lost.ending == load_ending::may_have_run);
@@ -197,19 +198,18 @@
 Test(entry_instance, a_graceful_stop_cuts_no_stream)
 {
     constexpr std::size_t callers = 20;
-    const auto requests = questions(callers, 400);
+    const auto requests = questions(callers, 1000);
     std::vector<load_outcome> outcomes;
     int status = -1;
     {
         bench::trace_header header = plain_header();
         header.servers = {quick_engine("e1", callers)};
         bench::local_fleet fleet(fleet_of(header, 1));
-        std::atomic<std::size_t> tokens = 0;
-        outcomes =
-            send_all(fleet.entries()[0], requests, [&](std::string_view) {
-                if (++tokens == callers)
-                    fleet.instance(0).send_signal(SIGTERM);
-            });
+        std::atomic<std::size_t> answered = 0;
+        outcomes = send_all(fleet.entries()[0], requests, [&](std::size_t) {
+            if (++answered == callers)
+                fleet.instance(0).send_signal(SIGTERM);
+        });
         status = fleet.instance(0).await_exit();
     }
     cr_assert_eq(count_own(requests, outcomes), callers, "%s",
--- a/tests/system/local_fleet_test.cpp
+++ b/tests/system/local_fleet_test.cpp
@@ -17,17 +17,6 @@
 
 namespace {
 
-bench::load_request question(std::uint32_t tokens)
-{
-    bench::load_request request;
-    request.service_class = core::class_name("answer");
-    request.workspace = core::workspace_id("club");
-    request.model = core::model_name("assistant");
-    request.prompt = "how do relay teams start?";
-    request.output_tokens = tokens;
-    return request;
-}
-
 bool is_running(pid_t pid)
 {
     return ::kill(pid, 0) == 0;
@@ -46,7 +35,8 @@
         bench::local_fleet fleet(fleet_of(header, 0));
         engine = fleet.server(0).pid();
         folder = fleet.folder();
-        outcome = bench::send_load(fleet.server_endpoint(0), question(6),
+        outcome = bench::send_load(fleet.server_endpoint(0),
+                                   question("how do relay teams start?", 6),
                                    core::monotonic_now());
     }
     cr_assert(outcome.ending == bench::load_ending::whole);
@@ -62,11 +52,10 @@
     bench::load_outcome outcome;
     {
         bench::local_fleet fleet(fleet_of(header, 0));
-        outcome =
-            bench::send_load(fleet.server_endpoint(0), question(1'000'000),
-                             core::monotonic_now(), [&](std::string_view) {
-                                 fleet.server(0).send_signal(SIGKILL);
-                             });
+        outcome = bench::send_load(
+            fleet.server_endpoint(0), question("which map?", 1'000'000),
+            core::monotonic_now(),
+            [&](std::string_view) { fleet.server(0).send_signal(SIGKILL); });
     }
     cr_assert(outcome.ending == bench::load_ending::cut);
 }
