Say not run of a key only when its claim was granted

Cause: a repeat of a booking that reached another instance during an outage of the platform, or a full queue, was told not_run although the first may have run there; the caller would book again under a new key.

Change: core::refusal_verdict: a request with an idempotency key that is refused before its claim was granted ends as may_have_run, in the decider and in the front; a connection turned away unread likewise. Refusals keep their 429 and 503; only faults of backend servers give 502.

--- a/oriolefall/core/verdict.hpp
+++ b/oriolefall/core/verdict.hpp
@@ -36,6 +36,10 @@
 /// How a request or one call of it ended, and whether it may have run.
 using verdict = std::variant<not_run, ran, may_have_run>;
 
+/// How a request ends that is refused before the right to run it was agreed:
+/// one with an idempotency key may repeat one that ran at another instance.
+[[nodiscard]] verdict refusal_verdict(reason cause, bool has_key);
+
 /// "not_run", "ran" or "may_have_run": used in answers, logs and metrics.
 [[nodiscard]] std::string_view to_string(const verdict& value);
 
--- a/oriolefall/decision/decider.cpp
+++ b/oriolefall/decision/decider.cpp
@@ -65,8 +65,10 @@
         out.emplace_back(decision_noted{.request = event.request.id,
                                         .kind = step_kind::refused,
                                         .cause = why->cause});
+        const bool has_key = event.request.key.has_value();
         out.emplace_back(finish_request{
-            event.request.id, core::not_run{why->cause}, why->retry_after});
+            event.request.id, core::refusal_verdict(why->cause, has_key),
+            why->retry_after});
         return;
     }
     open_request& request = open(now, event.request);
--- a/oriolefall/decision/decider_calls.cpp
+++ b/oriolefall/decision/decider_calls.cpp
@@ -252,8 +252,11 @@
 {
     if (request.state == request_state::queued)
         leave_queue(request);
+    // Without a granted claim another instance may have run this key before.
+    const bool is_alone = request.idempotent || request.claimed;
     const bool none_ran = std::holds_alternative<core::not_run>(verdict) &&
-                          !request.may_have_run && request.delivered == 0;
+                          is_alone && !request.may_have_run &&
+                          request.delivered == 0;
     if (none_ran)
         finish(request, core::not_run{cause}, retry_after, out);
     else
--- a/oriolefall/front/error_reply.cpp
+++ b/oriolefall/front/error_reply.cpp
@@ -52,12 +52,31 @@
     }
 }
 
+/// True when backend servers are the cause, and not this instance.
+bool is_backend_fault(core::reason reason)
+{
+    switch (reason) {
+    case core::reason::connect_failed:
+    case core::reason::connection_lost:
+    case core::reason::connection_silent:
+    case core::reason::backend_error:
+    case core::reason::backend_refused:
+    case core::reason::retry_budget_spent:
+    case core::reason::attempts_spent:
+    case core::reason::caller_gone:
+        return true;
+    default:
+        return false;
+    }
+}
+
 int status_of(const core::verdict& verdict)
 {
-    const int status = status_of(reason_of(verdict));
+    const core::reason reason = reason_of(verdict);
     const bool may_have_run =
         std::holds_alternative<core::may_have_run>(verdict);
-    return may_have_run && status == service_unavailable ? bad_gateway : status;
+    return may_have_run && is_backend_fault(reason) ? bad_gateway
+                                                    : status_of(reason);
 }
 
 std::string_view type_of(int status)
@@ -120,10 +139,11 @@
     return reply;
 }
 
-error_reply make_refusal(core::reason reason, std::string_view message)
+error_reply make_refusal(const refusal& refusal)
 {
-    return make_error_reply(core::not_run{reason}, absl::ZeroDuration(),
-                            message);
+    return make_error_reply(
+        core::refusal_verdict(refusal.reason, refusal.has_key),
+        absl::ZeroDuration(), refusal.message);
 }
 
 } // namespace oriolefall::front
--- a/oriolefall/front/error_reply.hpp
+++ b/oriolefall/front/error_reply.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_FRONT_ERROR_REPLY_HPP
 
 #include "oriolefall/core/verdict.hpp"
+#include "oriolefall/front/refusal.hpp"
 
 #include <absl/time/time.h>
 
@@ -33,8 +34,7 @@
                  std::string_view message = {});
 
 /// As above for a request that this instance refused before it was sent on.
-[[nodiscard]] error_reply make_refusal(core::reason reason,
-                                       std::string_view message = {});
+[[nodiscard]] error_reply make_refusal(const refusal& refusal);
 
 } // namespace oriolefall::front
 
--- a/oriolefall/front/refusal.hpp
+++ b/oriolefall/front/refusal.hpp
@@ -14,6 +14,8 @@
     core::reason reason;
     /// For the caller to read; empty for the standard one of the reason.
     std::string message;
+    /// The request carries an idempotency key, or that is not known.
+    bool has_key = false;
     auto operator<=>(const refusal&) const = default;
 };
 
--- a/oriolefall/front/routes.cpp
+++ b/oriolefall/front/routes.cpp
@@ -135,15 +135,16 @@
         [this](const Request& request, Response& response) {
             if (is_operator_path(request.path))
                 return handled::Unhandled;
-            refuse({core::reason::connection_limit, {}}, response);
+            const bool has_key = request.has_header(key_header);
+            refuse({core::reason::connection_limit, {}, has_key}, response);
             return handled::Handled;
         });
 }
 
-error_reply routes::refuse_early(core::reason reason) const
+error_reply routes::refuse_early(const refusal& refusal) const
 {
-    handlers_.refused(reason);
-    return make_refusal(reason);
+    handlers_.refused(refusal.reason);
+    return make_refusal(refusal);
 }
 
 void routes::install_error_handler(httplib::Server& http) const
@@ -154,7 +155,7 @@
         if (!response.body.empty() || response.status == caller_gone_status)
             return;
         const int status = response.status;
-        set_reply(refuse_early(core::reason::invalid_request), response);
+        set_reply(refuse_early({core::reason::invalid_request, {}}), response);
         response.status = status;
     });
 }
@@ -334,7 +335,7 @@
         {request, std::make_shared<const core::payload>(std::move(payload)),
          answers});
     if (refused)
-        return refusal{*refused, {}};
+        return refusal{*refused, {}, request.key.has_value()};
     return answer_reader(request.id, std::move(answers),
                          settings_.caller_check_interval,
                          handlers_.caller_gone);
@@ -348,8 +349,7 @@
 
 void routes::refuse(const refusal& refusal, httplib::Response& response) const
 {
-    handlers_.refused(refusal.reason);
-    set_reply(make_refusal(refusal.reason, refusal.message), response);
+    set_reply(refuse_early(refusal), response);
 }
 
 } // namespace oriolefall::front
--- a/oriolefall/front/routes.hpp
+++ b/oriolefall/front/routes.hpp
@@ -32,7 +32,7 @@
     void install_overflow(httplib::Server& http) const;
     /// Counts a refusal that is made before there is a request to answer;
     /// the answer to it.
-    [[nodiscard]] error_reply refuse_early(core::reason reason) const;
+    [[nodiscard]] error_reply refuse_early(const refusal& refusal) const;
 
 private:
     void install_error_handler(httplib::Server& http) const;
--- a/oriolefall/front/server.cpp
+++ b/oriolefall/front/server.cpp
@@ -85,7 +85,8 @@
 {
     if (start == request_start::none)
         return;
-    error_reply reply = routes_->refuse_early(core::reason::invalid_request);
+    error_reply reply =
+        routes_->refuse_early({core::reason::invalid_request, {}});
     reply.status = start == request_start::too_large ? header_too_large
                                                      : request_timed_out;
     caller.write_closing(closing_reply(reply));
@@ -94,8 +95,9 @@
 void server::turn_away(int descriptor)
 {
     connection caller(descriptor, settings_);
-    caller.write_closing(
-        closing_reply(routes_->refuse_early(core::reason::connection_limit)));
+    // Nothing was read: it may be a repeat of a request that ran elsewhere.
+    const refusal refusal{core::reason::connection_limit, {}, true};
+    caller.write_closing(closing_reply(routes_->refuse_early(refusal)));
 }
 
 } // namespace oriolefall::front
--- a/tests/decision/decision_world.cpp
+++ b/tests/decision/decision_world.cpp
@@ -398,6 +398,9 @@
     check(!std::holds_alternative<core::not_run>(action.verdict) ||
               (!request.may_have_run && request.tokens == 0),
           "not run is said only when nothing may have run");
+    check(!std::holds_alternative<core::not_run>(action.verdict) ||
+              request.rules->idempotent || request.claimed,
+          "not run is said of a key only when it was claimed");
     check(!request.ran || request.may_have_run, "what ran had a call");
     check(!request.claimed || request.recorded,
           "an outcome is recorded before the end");
