Measure what an instance adds to a first token, and what it costs idle

Cause: make bench had no figure for the path itself.

Change: oriolefall-bench overhead: the same requests to a stand-in engine directly and through one instance, in one run, at 1, 64 and 512 streams; then ten idle seconds. make bench runs it with the decider's and the fleet's.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 UNITS := $(filter %.cpp,$(SOURCES))
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test demo bench report lint format format-check test-sanitized clean
+.PHONY: deps build test demo bench lint format format-check test-sanitized clean
 
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -q && \
@@ -29,6 +29,11 @@
 demo: build
 	build/oriolefall-bench demo traces/demo.jsonl
 
+bench: build
+	build/oriolefall-bench decider
+	build/oriolefall-bench overhead
+	build/oriolefall-bench fleet --instances 6 24 96 --seconds 15
+
 lint: build
 	printf '%s\n' $(UNITS) | xargs -P $(JOBS) -n 1 clang-tidy-16 -p build --quiet
 
--- a/bench/commands.hpp
+++ b/bench/commands.hpp
@@ -28,6 +28,9 @@
 int decider_command(std::span<const std::string> words);
 /// Replays a trace against live entry instances.
 int load_command(std::span<const std::string> words);
+/// Measures the time that an instance adds to a request, and what it costs
+/// when idle.
+int overhead_command(std::span<const std::string> words);
 /// Measures what control costs each instance of a fleet.
 int fleet_command(std::span<const std::string> words);
 /// Starts a fleet on loopback, replays a trace against it and stops it.
--- a/programs/bench/main.cpp
+++ b/programs/bench/main.cpp
@@ -33,6 +33,8 @@
          "decisions",
          bench::replay_command},
         {"decider", "measures the cost of decisions", bench::decider_command},
+        {"overhead", "measures the time that an instance adds to a request",
+         bench::overhead_command},
         {"make-traces", "DIR: writes the generated traces into DIR",
          bench::make_traces_command},
         {"fleet", "measures what control costs each instance of a fleet",
