Stop the control thread before those it tells; one reader of settings

Cause: read through: at the end of an instance the control thread could tell a registrar or a settings reader of its role while that was being destroyed.

Change: fleet_duties stops the control duty first; the bench uses daemon::settings_reader.

The race was found by reading; no run showed it.

--- a/bench/fleet_instance.hpp
+++ b/bench/fleet_instance.hpp
@@ -2,19 +2,15 @@
 #define ORIOLEFALL_BENCH_FLEET_INSTANCE_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
-#include "oriolefall/core/duty_thread.hpp"
+#include "oriolefall/daemon/settings_reader.hpp"
 #include "oriolefall/peer/control_duty.hpp"
 #include "oriolefall/platform/client.hpp"
-#include "oriolefall/platform/reader.hpp"
 
 #include <absl/time/time.h>
 
 #include <atomic>
 #include <compare>
 #include <cstdint>
-#include <functional>
-#include <memory>
-#include <optional>
 
 namespace oriolefall::bench {
 
@@ -55,20 +51,14 @@
     [[nodiscard]] bool is_reader() const;
 
 private:
-    /// A reader of the platform with its client.
-    struct reader_duty;
-
     peer::control_hooks hooks();
-    void follow_role();
 
     std::size_t number_;
     fleet_shared& shared_;
     std::atomic<std::size_t> live_members_{0};
     std::atomic<bool> is_reader_{false};
-    core::bounded_ring<bool> roles_;
     peer::control_duty control_;
-    std::unique_ptr<reader_duty> reader_;
-    std::optional<core::duty_thread> role_thread_;
+    daemon::settings_reader reader_;
 };
 
 } // namespace oriolefall::bench
--- a/oriolefall/daemon/fleet_duties.cpp
+++ b/oriolefall/daemon/fleet_duties.cpp
@@ -51,10 +51,11 @@
 
 fleet_duties::~fleet_duties()
 {
-    registrar_.reset();
-    reader_.reset();
+    // The control thread tells the others of their role: it stops first.
     if (control_)
         control_->stop();
+    registrar_.reset();
+    reader_.reset();
 }
 
 bool fleet_duties::start(const core::endpoint& callers)
