--- a/bench/fleet_instance.cpp
+++ b/bench/fleet_instance.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-platform::client_settings client_of(const core::instance_id& self,
-                                    fleet_shared& shared)
+objects::client_settings client_of(const core::instance_id& self,
+                                   fleet_shared& shared)
 {
-    platform::client_settings settings;
+    objects::client_settings settings;
     settings.endpoint = shared.platform;
     settings.writer_name = self.value();
-    settings.note = [&shared](const platform::call_noted&) {
+    settings.note = [&shared](const objects::call_noted&) {
         ++shared.platform_calls;
     };
     return settings;
--- a/bench/fleet_instance.hpp
+++ b/bench/fleet_instance.hpp
@@ -3,8 +3,8 @@
 
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/daemon/settings_reader.hpp"
+#include "oriolefall/objects/client.hpp"
 #include "oriolefall/peer/control_duty.hpp"
-#include "oriolefall/platform/client.hpp"
 
 #include <absl/time/time.h>
 
--- a/bench/fleet_run.cpp
+++ b/bench/fleet_run.cpp
@@ -110,9 +110,9 @@
     /// Writes changes at the planned rate; gives when each was accepted.
     std::map<std::uint64_t, absl::Time> change()
     {
-        platform::client_settings settings;
+        objects::client_settings settings;
         settings.endpoint = shared_.platform;
-        platform::client writer(settings);
+        objects::client writer(settings);
         const absl::Duration gap = absl::Seconds(1) / plan_.changes_per_second;
         const absl::Time end = core::monotonic_now() + plan_.phase;
         std::map<std::uint64_t, absl::Time> accepted;
@@ -123,8 +123,8 @@
             const auto result =
                 writer.put("/teams/team" + std::to_string(accepted.size() % 8) +
                                "/classes",
-                           value, platform::always{});
-            if (const auto* done = std::get_if<platform::written>(&result))
+                           value, objects::always{});
+            if (const auto* done = std::get_if<objects::written>(&result))
                 accepted.emplace(done->version, core::monotonic_now());
         }
         wait(end - core::monotonic_now());
--- a/bench/overhead_command.cpp
+++ b/bench/overhead_command.cpp
@@ -3,7 +3,7 @@
 #include "bench/local_fleet.hpp"
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/duty_thread.hpp"
-#include "oriolefall/platform/stop_signal.hpp"
+#include "oriolefall/objects/stop_signal.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -128,7 +128,7 @@
 
 void measure_idle(local_fleet& fleet)
 {
-    platform::stop_signal never;
+    objects::stop_signal never;
     const absl::Duration before = fleet.instance(0).processor_time();
     static_cast<void>(never.wait(idle_time));
     const absl::Duration used = fleet.instance(0).processor_time() - before;
--- a/oriolefall/daemon/claim_duty.cpp
+++ b/oriolefall/daemon/claim_duty.cpp
@@ -12,34 +12,34 @@
 } // namespace
 
 claim_duty::claim_duty(const platform_access& access, std::size_t lanes,
-                       const platform::claim_lane::key_claimed_hook& claimed)
+                       const objects::claim_lane::key_claimed_hook& claimed)
 {
     lanes_.reserve(lanes);
     for (std::size_t number = 0; number < lanes; ++number)
         lanes_.push_back(make_lane(access, number, claimed));
 }
 
-bool claim_duty::submit(const platform::claim_order& order)
+bool claim_duty::submit(const objects::claim_order& order)
 {
-    const std::size_t at = platform::claim_lane::lane_of(order, lanes_.size());
+    const std::size_t at = objects::claim_lane::lane_of(order, lanes_.size());
     return lanes_[at].claims->submit(order);
 }
 
 claim_duty::lane
 claim_duty::make_lane(const platform_access& access, std::size_t number,
-                      const platform::claim_lane::key_claimed_hook& claimed)
+                      const objects::claim_lane::key_claimed_hook& claimed)
 {
     const std::string duty = absl::StrCat("claim", number);
     auto client =
-        std::make_unique<platform::client>(client_settings_of(access, duty));
+        std::make_unique<objects::client>(client_settings_of(access, duty));
     const auto recorded = [tell = access.tell](bool kept) {
         const std::string result = kept ? "kept" : "not_kept";
         tell(observe::counter_added{"claim_outcomes_total", "result", result});
     };
     const std::string holder =
         absl::StrCat(access.instance.value(), "/", access.incarnation);
-    platform::client& calls = *client;
-    auto claims = std::make_unique<platform::claim_lane>(
+    objects::client& calls = *client;
+    auto claims = std::make_unique<objects::claim_lane>(
         calls.as_object_store(), [&calls] { calls.stop(); }, holder,
         lane_capacity, claimed, recorded);
     return {std::move(client), std::move(claims)};
--- a/oriolefall/daemon/fleet_duties.cpp
+++ b/oriolefall/daemon/fleet_duties.cpp
@@ -13,7 +13,7 @@
 /// Changes of settings that wait to be put in force at most.
 constexpr std::size_t settings_ring_capacity = 1024;
 
-membership::member to_member(const platform::listed_instance& listed)
+membership::member to_member(const objects::listed_instance& listed)
 {
     membership::member member;
     member.id = listed.id;
@@ -26,7 +26,7 @@
 }
 
 membership::platform_listed
-to_event(const std::vector<platform::listed_instance>& listed)
+to_event(const std::vector<objects::listed_instance>& listed)
 {
     membership::platform_listed event;
     std::ranges::transform(listed, std::back_inserter(event.members),
@@ -44,7 +44,7 @@
       tell_(std::move(tell)),
       members_(std::make_shared<const std::vector<membership::member>>()),
       applied_(std::move(applied)),
-      in_force_(std::make_shared<const platform::settings_in_force>()),
+      in_force_(std::make_shared<const objects::settings_in_force>()),
       settings_duty_(settings_ring_capacity, settings_hooks())
 {
 }
@@ -102,7 +102,7 @@
     return members_.get();
 }
 
-std::shared_ptr<const platform::settings_in_force>
+std::shared_ptr<const objects::settings_in_force>
 fleet_duties::settings_in_force() const
 {
     return in_force_.get();
@@ -137,7 +137,7 @@
     hooks.settings_kept =
         [this](const std::vector<settings::tree_object>& objects) {
             // With no room the next list of the platform mends it.
-            settings_duty_.try_tell(platform::peer_objects{objects});
+            settings_duty_.try_tell(objects::peer_objects{objects});
         };
     hooks.reader_role_changed = [this](bool is_reader) {
         if (reader_)
@@ -149,10 +149,10 @@
     return hooks;
 }
 
-platform::settings_duty_hooks fleet_duties::settings_hooks()
+objects::settings_duty_hooks fleet_duties::settings_hooks()
 {
-    platform::settings_duty_hooks hooks;
-    hooks.publish = [this](const platform::settings_in_force& next) {
+    objects::settings_duty_hooks hooks;
+    hooks.publish = [this](const objects::settings_in_force& next) {
         put_in_force(next);
     };
     // The control duty spreads the tree among peers.
@@ -162,10 +162,10 @@
     return hooks;
 }
 
-void fleet_duties::put_in_force(const platform::settings_in_force& next)
+void fleet_duties::put_in_force(const objects::settings_in_force& next)
 {
     applied_(next);
-    in_force_.set(std::make_shared<const platform::settings_in_force>(next));
+    in_force_.set(std::make_shared<const objects::settings_in_force>(next));
     const std::size_t faults = next.faults.size();
     tell_(observe::counter_added{"settings_applied_total", "", ""});
     tell_(observe::counter_added{"settings_faults_total", "", "", faults});
@@ -186,7 +186,7 @@
         client_settings_of(*access_, "settings"), give);
     registrar_ = std::make_unique<registrar>(
         registrar_settings{}, *access_,
-        [this](const std::vector<platform::listed_instance>& listed) {
+        [this](const std::vector<objects::listed_instance>& listed) {
             control_->give(to_event(listed));
         });
 }
--- a/oriolefall/daemon/fleet_duties.hpp
+++ b/oriolefall/daemon/fleet_duties.hpp
@@ -6,8 +6,8 @@
 #include "oriolefall/daemon/registrar.hpp"
 #include "oriolefall/daemon/settings_reader.hpp"
 #include "oriolefall/membership/entry_choice.hpp"
+#include "oriolefall/objects/settings_duty.hpp"
 #include "oriolefall/peer/control_duty.hpp"
-#include "oriolefall/platform/settings_duty.hpp"
 #include "oriolefall/settings/instance_settings.hpp"
 
 #include <cstdint>
@@ -19,7 +19,7 @@
 namespace oriolefall::daemon {
 
 /// Puts a routing table in force; called on the settings thread, may wait.
-using applied_hook = std::function<void(const platform::settings_in_force&)>;
+using applied_hook = std::function<void(const objects::settings_in_force&)>;
 
 /// What one instance does to take part in the fleet: the control duty with
 /// its links, the settings in force, and, where there is a platform, its
@@ -47,7 +47,7 @@
     [[nodiscard]] membership::entry_choice
     entry(const core::workspace_id& workspace) const;
     [[nodiscard]] peer::members_ptr members() const;
-    [[nodiscard]] std::shared_ptr<const platform::settings_in_force>
+    [[nodiscard]] std::shared_ptr<const objects::settings_in_force>
     settings_in_force() const;
     [[nodiscard]] peer::link_counts counts() const;
 
@@ -55,8 +55,8 @@
     [[nodiscard]] peer::control_settings
     control_settings(const core::endpoint& callers) const;
     [[nodiscard]] peer::control_hooks control_hooks();
-    [[nodiscard]] platform::settings_duty_hooks settings_hooks();
-    void put_in_force(const platform::settings_in_force& next);
+    [[nodiscard]] objects::settings_duty_hooks settings_hooks();
+    void put_in_force(const objects::settings_in_force& next);
     /// Before the control duty starts, which tells them of their role.
     void make_platform_duties();
 
@@ -66,8 +66,8 @@
     tell_hook tell_;
     core::latest_value<std::vector<membership::member>> members_;
     applied_hook applied_;
-    core::latest_value<platform::settings_in_force> in_force_;
-    platform::settings_duty settings_duty_;
+    core::latest_value<objects::settings_in_force> in_force_;
+    objects::settings_duty settings_duty_;
     std::unique_ptr<settings_reader> reader_;
     std::unique_ptr<peer::control_duty> control_;
     std::unique_ptr<registrar> registrar_;
--- a/oriolefall/daemon/instance.cpp
+++ b/oriolefall/daemon/instance.cpp
@@ -100,7 +100,7 @@
             });
     fleet_ = std::make_unique<fleet_duties>(
         options_.settings, incarnation_, access, tell,
-        [this](const platform::settings_in_force& next) { apply(next); });
+        [this](const objects::settings_in_force& next) { apply(next); });
     if (access)
         moves_ = std::make_unique<move_duties>(
             *access, [this] { return fleet_->members(); });
@@ -111,7 +111,7 @@
            fleet_->start({options_.settings.listen.address, port()});
 }
 
-void instance::apply(const platform::settings_in_force& next)
+void instance::apply(const objects::settings_in_force& next)
 {
     table_.set(next.table);
     decider_.tell(decision::table_applied{next.table});
--- a/oriolefall/daemon/instance.hpp
+++ b/oriolefall/daemon/instance.hpp
@@ -57,7 +57,7 @@
     [[nodiscard]] front::entry_answer
     entry(const core::workspace_id& workspace) const;
     [[nodiscard]] std::string status() const;
-    void apply(const platform::settings_in_force& next);
+    void apply(const objects::settings_in_force& next);
     void record(observe::record what);
 
     instance_options options_;
--- a/oriolefall/daemon/move_duties.cpp
+++ b/oriolefall/daemon/move_duties.cpp
@@ -50,9 +50,9 @@
 /// One move's duty with the client that it makes its calls with.
 struct move_duties::running_move
 {
-    running_move(const platform::client_settings& client_settings,
-                 const platform::move_duty_settings& settings,
-                 platform::move_duty_hooks hooks)
+    running_move(const objects::client_settings& client_settings,
+                 const objects::move_duty_settings& settings,
+                 objects::move_duty_hooks hooks)
         : client(client_settings),
           duty(
               settings, client.as_object_store(), [this] { client.stop(); },
@@ -60,8 +60,8 @@
     {
     }
 
-    platform::client client;
-    platform::move_duty duty;
+    objects::client client;
+    objects::move_duty duty;
 };
 
 move_duties::move_duties(platform_access access, members_hook members)
@@ -184,12 +184,12 @@
 move_duties::make_running(const move::move_object& some)
 {
     const move_key key{some.team, some.name};
-    platform::move_duty_settings settings;
+    objects::move_duty_settings settings;
     settings.team = some.team;
     settings.name = some.name;
     settings.instance = access_.instance;
     settings.mover.to_calendar = to_calendar();
-    platform::move_duty_hooks hooks;
+    objects::move_duty_hooks hooks;
     hooks.send_order = [this, key](const move::send_order& order) {
         ring_.try_push(order_wanted{key, order});
     };
--- a/oriolefall/daemon/move_duties.hpp
+++ b/oriolefall/daemon/move_duties.hpp
@@ -8,8 +8,8 @@
 #include "oriolefall/decision/event.hpp"
 #include "oriolefall/membership/member.hpp"
 #include "oriolefall/move/move_object.hpp"
+#include "oriolefall/objects/move_duty.hpp"
 #include "oriolefall/observe/record.hpp"
-#include "oriolefall/platform/move_duty.hpp"
 
 #include <absl/time/time.h>
 
--- a/oriolefall/daemon/platform_client.cpp
+++ b/oriolefall/daemon/platform_client.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-void count_call(const tell_hook& tell, const platform::call_noted& call)
+void count_call(const tell_hook& tell, const objects::call_noted& call)
 {
     const std::string type(to_string(call.type));
     tell(observe::counter_added{"platform_calls_total", "type", type, 1});
@@ -18,14 +18,14 @@
 
 } // namespace
 
-platform::client_settings client_settings_of(const platform_access& access,
-                                             const std::string& duty)
+objects::client_settings client_settings_of(const platform_access& access,
+                                            const std::string& duty)
 {
-    platform::client_settings settings;
+    objects::client_settings settings;
     settings.endpoint = access.endpoint;
     settings.writer_name = absl::StrCat(access.instance.value(), "/",
                                         access.incarnation, "/", duty);
-    settings.note = [tell = access.tell](const platform::call_noted& call) {
+    settings.note = [tell = access.tell](const objects::call_noted& call) {
         count_call(tell, call);
     };
     return settings;
--- a/oriolefall/daemon/platform_client.hpp
+++ b/oriolefall/daemon/platform_client.hpp
@@ -1,8 +1,8 @@
 #ifndef ORIOLEFALL_DAEMON_PLATFORM_CLIENT_HPP
 #define ORIOLEFALL_DAEMON_PLATFORM_CLIENT_HPP
 
+#include "oriolefall/objects/client.hpp"
 #include "oriolefall/observe/record.hpp"
-#include "oriolefall/platform/client.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -24,7 +24,7 @@
 };
 
 /// Settings of the client of one duty; its calls are counted. Any thread.
-[[nodiscard]] platform::client_settings
+[[nodiscard]] objects::client_settings
 client_settings_of(const platform_access& access, const std::string& duty);
 
 } // namespace oriolefall::daemon
--- a/oriolefall/daemon/registrar.cpp
+++ b/oriolefall/daemon/registrar.cpp
@@ -1,7 +1,7 @@
 #include "oriolefall/daemon/registrar.hpp"
 
 #include "oriolefall/core/clock.hpp"
-#include "oriolefall/platform/backoff.hpp"
+#include "oriolefall/objects/backoff.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -33,7 +33,7 @@
     thread_.reset();
 }
 
-void registrar::start(platform::listed_instance self)
+void registrar::start(objects::listed_instance self)
 {
     self_ = std::move(self);
     thread_.emplace("registrar", [this] { run(); });
@@ -81,7 +81,7 @@
 void registrar::announce()
 {
     const auto told = store_.announce(self_);
-    const bool done = std::holds_alternative<platform::written>(told);
+    const bool done = std::holds_alternative<objects::written>(told);
     announce_at_ =
         after(done ? settings_.announce_interval : settings_.list_interval);
 }
@@ -89,7 +89,7 @@
 void registrar::list()
 {
     auto listed = store_.instances();
-    using list_type = std::vector<platform::listed_instance>;
+    using list_type = std::vector<objects::listed_instance>;
     if (auto* instances = std::get_if<list_type>(&listed))
         listed_(std::move(*instances));
     list_at_ = after(settings_.list_interval);
@@ -97,7 +97,7 @@
 
 absl::Time registrar::after(absl::Duration interval) const
 {
-    const double drawn = platform::draw_uniform();
+    const double drawn = objects::draw_uniform();
     return core::monotonic_now() + interval * (1.0 - jitter_share * drawn);
 }
 
--- a/oriolefall/daemon/registrar.hpp
+++ b/oriolefall/daemon/registrar.hpp
@@ -4,7 +4,7 @@
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/daemon/platform_client.hpp"
-#include "oriolefall/platform/object.hpp"
+#include "oriolefall/objects/object.hpp"
 
 #include <absl/time/time.h>
 
@@ -33,7 +33,7 @@
 {
 public:
     using listed_hook =
-        std::function<void(std::vector<platform::listed_instance>)>;
+        std::function<void(std::vector<objects::listed_instance>)>;
 
     /// `listed` is called on the registrar's thread.
     registrar(const registrar_settings& settings, const platform_access& access,
@@ -43,7 +43,7 @@
     ~registrar();
 
     /// Starts the thread that speaks for `self`. Once.
-    void start(platform::listed_instance self);
+    void start(objects::listed_instance self);
     /// Tells the platform that this instance leaves. Never blocks. Any thread.
     void leave();
     /// This instance is to read the list, or no longer. Never blocks. Any
@@ -68,10 +68,10 @@
     [[nodiscard]] absl::Time after(absl::Duration interval) const;
 
     registrar_settings settings_;
-    platform::listed_instance self_;
+    objects::listed_instance self_;
     listed_hook listed_;
-    platform::client client_;
-    platform::object_store store_;
+    objects::client client_;
+    objects::object_store store_;
     core::bounded_ring<order> orders_;
     bool is_reader_ = true;
     absl::Time announce_at_ = absl::InfinitePast();
--- a/oriolefall/daemon/settings_reader.cpp
+++ b/oriolefall/daemon/settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "oriolefall/daemon/settings_reader.hpp"
 
-#include "oriolefall/platform/settings_store.hpp"
+#include "oriolefall/objects/settings_store.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -13,16 +13,16 @@
 
 constexpr std::size_t role_capacity = 64;
 
-std::vector<settings::tree_object> objects_of(const platform::store_news& news)
+std::vector<settings::tree_object> objects_of(const objects::store_news& news)
 {
     std::vector<settings::tree_object> objects;
-    if (const auto* list = std::get_if<platform::object_list>(&news))
+    if (const auto* list = std::get_if<objects::object_list>(&news))
         std::ranges::transform(list->objects, std::back_inserter(objects),
-                               platform::to_tree_object);
-    if (const auto* some = std::get_if<platform::object_changes>(&news)) {
-        for (const platform::object_change& change : some->changes) {
+                               objects::to_tree_object);
+    if (const auto* some = std::get_if<objects::object_changes>(&news)) {
+        for (const objects::object_change& change : some->changes) {
             if (change.object)
-                objects.push_back(platform::to_tree_object(*change.object));
+                objects.push_back(objects::to_tree_object(*change.object));
         }
     }
     return objects;
@@ -32,22 +32,22 @@
 
 struct settings_reader::reading
 {
-    reading(const platform::client_settings& settings, const give_hook& give)
+    reading(const objects::client_settings& settings, const give_hook& give)
         : client(settings),
           reader(
-              platform::reader_settings{}, client.as_object_store(),
+              objects::reader_settings{}, client.as_object_store(),
               [this] { client.stop(); },
-              [give](const platform::store_news& news) {
+              [give](const objects::store_news& news) {
                   give(objects_of(news));
               })
     {
     }
 
-    platform::client client;
-    platform::reader reader;
+    objects::client client;
+    objects::reader reader;
 };
 
-settings_reader::settings_reader(platform::client_settings client,
+settings_reader::settings_reader(objects::client_settings client,
                                  give_hook give)
     : client_(std::move(client)), give_(std::move(give)), roles_(role_capacity),
       thread_("settings-role", [this] { follow_role(); })
--- a/oriolefall/daemon/settings_reader.hpp
+++ b/oriolefall/daemon/settings_reader.hpp
@@ -3,8 +3,8 @@
 
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
-#include "oriolefall/platform/client.hpp"
-#include "oriolefall/platform/reader.hpp"
+#include "oriolefall/objects/client.hpp"
+#include "oriolefall/objects/reader.hpp"
 #include "oriolefall/settings/tree_object.hpp"
 
 #include <functional>
@@ -21,7 +21,7 @@
     /// Takes what was read; false when there was no room.
     using give_hook = std::function<bool(std::vector<settings::tree_object>)>;
 
-    settings_reader(platform::client_settings client, give_hook give);
+    settings_reader(objects::client_settings client, give_hook give);
     settings_reader(const settings_reader&) = delete;
     settings_reader& operator=(const settings_reader&) = delete;
     ~settings_reader();
@@ -35,7 +35,7 @@
 
     void follow_role();
 
-    platform::client_settings client_;
+    objects::client_settings client_;
     give_hook give_;
     core::bounded_ring<bool> roles_;
     std::unique_ptr<reading> reading_;
--- /dev/null
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -0,0 +1,48 @@
+#ifndef ORIOLEFALL_DISPATCH_DISPATCH_SETTINGS_HPP
+#define ORIOLEFALL_DISPATCH_DISPATCH_SETTINGS_HPP
+
+#include "oriolefall/dispatch/placement.hpp"
+#include "oriolefall/dispatch/repeat_budget.hpp"
+#include "oriolefall/dispatch/server_state.hpp"
+
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace oriolefall::dispatch {
+
+/// How one instance decides where requests go and how they end.
+struct dispatch_settings
+{
+    /// Region of this instance.
+    core::region_name here;
+    repeat_budget_settings repeats;
+    ejection_settings ejection;
+    /// Instances that share budgets at least, before others are heard of.
+    std::uint32_t least_instances = 1;
+    /// When a caller is to come back after a refusal that did not run.
+    absl::Duration come_back_soon = absl::Milliseconds(150);
+    absl::Duration come_back_later = absl::Milliseconds(400);
+    /// Time over the limit of a route that an answer already under way gets.
+    absl::Duration limit_grace = absl::Milliseconds(60);
+    /// Least time left that makes a further call worth while.
+    absl::Duration least_time_for_repeat = absl::Milliseconds(50);
+    /// Requests open at the same time at most.
+    std::size_t most_open = 4000;
+    std::partial_ordering operator<=>(const dispatch_settings&) const = default;
+};
+
+/// What varies in the decisions.
+struct dispatch_hooks
+{
+    placement_hook cost;
+    /// Evenly spread random numbers.
+    std::function<std::uint64_t()> random;
+};
+
+} // namespace oriolefall::dispatch
+
+#endif
--- /dev/null
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -0,0 +1,340 @@
+#include "oriolefall/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace oriolefall::dispatch {
+
+namespace {
+
+/// From this status on an answer tells a fault of the server.
+constexpr int first_server_error = 500;
+
+} // namespace
+
+dispatcher::dispatcher(dispatch_settings settings, dispatch_hooks hooks)
+    : settings_(std::move(settings)), hooks_(std::move(hooks)),
+      instances_(settings_.least_instances)
+{
+    assert(hooks_.cost && hooks_.random);
+}
+
+void dispatcher::step(absl::Time now, const event& event,
+                      std::vector<action>& out)
+{
+    assert(now >= now_);
+    now_ = now;
+    out_ = &out;
+    std::visit([this](const auto& value) { on(value); }, event);
+    out_ = nullptr;
+}
+
+absl::Time dispatcher::next_tick() const
+{
+    return ends_.empty() ? absl::InfiniteFuture() : ends_.begin()->first;
+}
+
+std::size_t dispatcher::open_requests() const
+{
+    return requests_.size();
+}
+
+void dispatcher::on(const arrival& event)
+{
+    open_request request;
+    request.facts = event;
+    request.table = table_;
+    if (const auto cause = refuse_at_once(request)) {
+        note(request, std::string(to_string(*cause)), true);
+        const bool is_promise =
+            *cause != refusal::unknown_route && *cause != refusal::unknown_key;
+        out_->push_back(
+            refuse{event.id, *cause, is_promise,
+                   is_promise ? come_back(*cause) : absl::ZeroDuration()});
+        return;
+    }
+    const auto& route = *request.route;
+    request.service = choose_service(route);
+    request.ends_at =
+        event.received + std::min(route.time_limit + settings_.limit_grace,
+                                  event.patience + settings_.limit_grace);
+    budget_of(request.service).note_request(now_);
+    const auto [place_in_map, is_new] =
+        requests_.emplace(event.id.value(), std::move(request));
+    assert(is_new);
+    open_request& held = place_in_map->second;
+    if (held.ends_at != absl::InfiniteFuture())
+        ends_.emplace(held.ends_at, event.id.value());
+    place(held, refusal::no_server);
+}
+
+std::optional<refusal> dispatcher::refuse_at_once(open_request& request)
+{
+    if (!table_ || !servers_known_)
+        return refusal::no_settings;
+    request.route = table_->find_route(request.facts.host, request.facts.path);
+    if (request.route == nullptr)
+        return refusal::unknown_route;
+    if (table_->asks_for_key(*request.route)) {
+        request.workspace = table_->find_workspace(request.facts.api_key);
+        if (request.workspace == nullptr)
+            return refusal::unknown_key;
+    }
+    if (requests_.size() >= settings_.most_open)
+        return refusal::overloaded;
+    return std::nullopt;
+}
+
+void dispatcher::on(const caller_left& event)
+{
+    const auto found = requests_.find(event.id.value());
+    if (found == requests_.end())
+        return;
+    note(found->second, "caller_left", false);
+    cancel(found->second);
+    forget(event.id);
+}
+
+void dispatcher::on(const call_not_run& event)
+{
+    open_request* request = find(event.id, event.call);
+    if (request == nullptr)
+        return;
+    note_load(*request, event.load);
+    server_state* server = server_of(*request);
+    const auto server_id = request->call->server;
+    close_call(*request);
+    const bool was_sent = event.cause == not_run_cause::refused ||
+                          event.cause == not_run_cause::wrong_server;
+    if (!was_sent) {
+        std::erase(request->tried, server_id);
+        request->unreachable.push_back(server_id);
+    }
+    if (server != nullptr) {
+        if (event.cause == not_run_cause::not_connected ||
+            event.cause == not_run_cause::wrong_server)
+            server->note_unreachable(now_);
+        else if (event.cause == not_run_cause::refused && !event.load)
+            server->note_failure(now_);
+    }
+    if (!was_sent)
+        place(*request, refusal::no_server);
+    else if (!place_again(*request))
+        end(*request, refusal::overloaded);
+}
+
+void dispatcher::on(const call_broken& event)
+{
+    open_request* request = find(event.id, event.call);
+    if (request == nullptr)
+        return;
+    if (server_state* server = server_of(*request))
+        server->note_failure(now_);
+    close_call(*request);
+    request->may_have_run = true;
+    request->answer_begun = request->answer_begun || event.answer_begun;
+    if (!may_repeat(*request) || !place_again(*request))
+        end(*request, refusal::outcome_unknown);
+}
+
+void dispatcher::on(const call_answered& event)
+{
+    open_request* request = find(event.id, event.call);
+    if (request == nullptr)
+        return;
+    note_load(*request, event.load);
+    server_state* server = server_of(*request);
+    if (server != nullptr && !request->call->is_read) {
+        server->note_read(request->call->tokens_to_read);
+        request->call->is_read = true;
+        if (event.status < first_server_error)
+            server->note_success(now_);
+    }
+    request->answer_begun = true;
+}
+
+void dispatcher::on(const call_failed& event)
+{
+    open_request* request = find(event.id, event.call);
+    if (request == nullptr)
+        return;
+    note_load(*request, event.load);
+    if (server_state* server = server_of(*request))
+        server->note_failure(now_);
+    const open_call call = *request->call;
+    close_call(*request);
+    request->may_have_run = true;
+    if (may_repeat(*request) && place_again(*request))
+        return;
+    note(*request, "passed_failure", true);
+    out_->push_back(pass_failure{event.id, call.id});
+    forget(event.id);
+}
+
+void dispatcher::on(const call_done& event)
+{
+    open_request* request = find(event.id, event.call);
+    if (request == nullptr)
+        return;
+    note(*request, "answered", false);
+    close_call(*request);
+    forget(event.id);
+}
+
+void dispatcher::on(const routes_changed& event)
+{
+    assert(event.table);
+    if (!routing::may_replace(table_ ? &table_->settings() : nullptr,
+                              event.table->settings()))
+        return;
+    table_ = event.table;
+    std::ranges::for_each(servers_, [this](auto& each) {
+        server_state& server = *each.second;
+        const auto* service = table_->find_service(server.entry().service);
+        if (service != nullptr && service->engine)
+            server.cache().set_capacity(service->engine->memory_tokens * 3 / 4);
+    });
+}
+
+void dispatcher::on(const servers_changed& event)
+{
+    servers_known_ = true;
+    server_map next;
+    for (const server_entry& entry : *event.servers) {
+        auto held = servers_.find(entry.id);
+        if (held == servers_.end()) {
+            next.emplace(entry.id, std::make_unique<server_state>(
+                                       entry, settings_.ejection));
+            continue;
+        }
+        held->second->replace(entry);
+        next.emplace(entry.id, std::move(held->second));
+    }
+    servers_ = std::move(next);
+    by_service_.clear();
+    for (auto& [id, server] : servers_) {
+        server->doubtful =
+            std::ranges::find(event.doubtful, id) != event.doubtful.end();
+        by_service_[server->entry().service].push_back(server.get());
+        const auto* service =
+            table_ ? table_->find_service(server->entry().service) : nullptr;
+        if (service != nullptr && service->engine)
+            server->cache().set_capacity(service->engine->memory_tokens * 3 /
+                                         4);
+    }
+}
+
+void dispatcher::on(const fleet_changed& event)
+{
+    instances_ = std::max(event.instances, settings_.least_instances);
+}
+
+void dispatcher::on(const tick&)
+{
+    while (!ends_.empty() && ends_.begin()->first <= now_) {
+        const auto id = ends_.begin()->second;
+        const auto found = requests_.find(id);
+        assert(found != requests_.end());
+        open_request& request = found->second;
+        if (request.call)
+            request.may_have_run = true;
+        cancel(request);
+        end(request, refusal::time_over);
+    }
+}
+
+void dispatcher::end(open_request& request, refusal cause)
+{
+    const bool not_run = !request.may_have_run && !request.answer_begun;
+    note(request, std::string(to_string(cause)), true);
+    out_->push_back(refuse{request.facts.id, cause, not_run,
+                           not_run ? come_back(cause) : absl::ZeroDuration()});
+    forget(request.facts.id);
+}
+
+void dispatcher::close_call(open_request& request)
+{
+    if (!request.call)
+        return;
+    if (server_state* server = server_of(request)) {
+        if (!request.call->is_read)
+            server->note_read(request.call->tokens_to_read);
+        server->note_ended();
+    }
+    request.call.reset();
+}
+
+void dispatcher::cancel(open_request& request)
+{
+    if (!request.call)
+        return;
+    out_->push_back(cancel_call{request.facts.id, request.call->id});
+    close_call(request);
+}
+
+void dispatcher::forget(core::request_id id)
+{
+    const auto found = requests_.find(id.value());
+    assert(found != requests_.end());
+    ends_.erase({found->second.ends_at, id.value()});
+    requests_.erase(found);
+}
+
+dispatcher::open_request* dispatcher::find(core::request_id id,
+                                           core::call_id call)
+{
+    const auto found = requests_.find(id.value());
+    if (found == requests_.end())
+        return nullptr;
+    const auto& held = found->second.call;
+    return held && held->id == call ? &found->second : nullptr;
+}
+
+server_state* dispatcher::server_of(const open_request& request)
+{
+    const auto found = servers_.find(request.call->server);
+    return found == servers_.end() ? nullptr : found->second.get();
+}
+
+void dispatcher::note_load(const open_request& request,
+                           const std::optional<server_load>& load)
+{
+    server_state* server = server_of(request);
+    if (server != nullptr && load)
+        server->note_load(now_, *load);
+}
+
+repeat_budget& dispatcher::budget_of(const routing::service_name& name)
+{
+    return budgets_.try_emplace(name, settings_.repeats).first->second;
+}
+
+absl::Duration dispatcher::come_back(refusal cause)
+{
+    const absl::Duration base = cause == refusal::overloaded
+                                    ? settings_.come_back_later
+                                    : settings_.come_back_soon;
+    // Spread, so that callers refused together don't return together.
+    constexpr std::uint64_t steps = 1000;
+    const double part = static_cast<double>(hooks_.random() % steps) / steps;
+    return base * (1 + part / 2);
+}
+
+void dispatcher::note(const open_request& request, std::string outcome,
+                      bool is_failure)
+{
+    std::string inputs = "servers=" + std::to_string(request.tried.size());
+    if (request.table)
+        inputs +=
+            " settings=" + std::to_string(request.table->settings().version);
+    if (request.call)
+        inputs += " server=" + request.call->server.value();
+    else if (!request.tried.empty())
+        inputs += " server=" + request.tried.back().value();
+    out_->push_back(decision_note{request.facts.id, request.facts.caller_id,
+                                  std::move(outcome), std::move(inputs),
+                                  is_failure});
+}
+
+} // namespace oriolefall::dispatch
--- /dev/null
+++ b/oriolefall/dispatch/server_entry.hpp
@@ -0,0 +1,43 @@
+#ifndef ORIOLEFALL_DISPATCH_SERVER_ENTRY_HPP
+#define ORIOLEFALL_DISPATCH_SERVER_ENTRY_HPP
+
+#include "oriolefall/core/backend_server.hpp"
+#include "oriolefall/routing/route_settings.hpp"
+
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace oriolefall::dispatch {
+
+/// A backend server as the list of servers tells it.
+struct server_entry
+{
+    core::backend_server_id id;
+    routing::service_name service;
+    core::endpoint endpoint;
+    core::location location;
+    /// Requests that it runs at once.
+    std::uint32_t slots = 1;
+    /// It takes no new requests.
+    bool leaving = false;
+    /// Time until it runs at full speed.
+    absl::Duration warmup_left = absl::ZeroDuration();
+    /// Changes with each start of the server.
+    std::int64_t started_at_ms = 0;
+    std::strong_ordering operator<=>(const server_entry&) const = default;
+};
+
+/// What a backend server tells of its load in its answers.
+struct server_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    auto operator<=>(const server_load&) const = default;
+};
+
+} // namespace oriolefall::dispatch
+
+#endif
--- /dev/null
+++ b/oriolefall/net/socket_options.cpp
@@ -0,0 +1,42 @@
+#include "oriolefall/net/socket_options.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace oriolefall::net {
+
+namespace {
+
+constexpr int idle_before_probe_s = 2;
+constexpr int between_probes_s = 1;
+constexpr int lost_probes = 3;
+
+void set_tcp_option(tcp::socket& socket, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value,
+                 sizeof(value));
+}
+
+} // namespace
+
+void set_no_delay(tcp::socket& socket)
+{
+    set_tcp_option(socket, TCP_NODELAY, 1);
+}
+
+void set_ack_limit(tcp::socket& socket, std::chrono::milliseconds limit)
+{
+    set_tcp_option(socket, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+}
+
+void set_keep_alive(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    set_tcp_option(socket, TCP_KEEPIDLE, idle_before_probe_s);
+    set_tcp_option(socket, TCP_KEEPINTVL, between_probes_s);
+    set_tcp_option(socket, TCP_KEEPCNT, lost_probes);
+}
+
+} // namespace oriolefall::net
--- a/oriolefall/platform/backoff.cpp
+++ b/oriolefall/objects/backoff.cpp
@@ -1,9 +1,9 @@
-#include "oriolefall/platform/backoff.hpp"
+#include "oriolefall/objects/backoff.hpp"
 
 #include <algorithm>
 #include <random>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 double draw_uniform()
 {
@@ -22,4 +22,4 @@
     return limit * random();
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/backoff.hpp
+++ b/oriolefall/objects/backoff.hpp
@@ -1,5 +1,5 @@
-#ifndef ORIOLEFALL_PLATFORM_BACKOFF_HPP
-#define ORIOLEFALL_PLATFORM_BACKOFF_HPP
+#ifndef ORIOLEFALL_OBJECTS_BACKOFF_HPP
+#define ORIOLEFALL_OBJECTS_BACKOFF_HPP
 
 #include <absl/time/time.h>
 
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <functional>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Gives a number from 0 up to, not including, 1.
 using random_hook = std::function<double()>;
@@ -34,6 +34,6 @@
                                            std::uint32_t repeat,
                                            const random_hook& random);
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/call_budget.cpp
+++ b/oriolefall/objects/call_budget.cpp
@@ -1,9 +1,9 @@
-#include "oriolefall/platform/call_budget.hpp"
+#include "oriolefall/objects/call_budget.hpp"
 
 #include <algorithm>
 #include <cassert>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 call_budget::call_budget(double per_second, double burst)
     : per_second_(per_second), burst_(burst), tokens_(burst)
@@ -24,4 +24,4 @@
     return absl::Seconds(-tokens_ / per_second_);
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/call_budget.hpp
+++ b/oriolefall/objects/call_budget.hpp
@@ -1,9 +1,9 @@
-#ifndef ORIOLEFALL_PLATFORM_CALL_BUDGET_HPP
-#define ORIOLEFALL_PLATFORM_CALL_BUDGET_HPP
+#ifndef ORIOLEFALL_OBJECTS_CALL_BUDGET_HPP
+#define ORIOLEFALL_OBJECTS_CALL_BUDGET_HPP
 
 #include <absl/time/time.h>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Holds calls to a rate: a token bucket. Pure; one thread.
 class call_budget
@@ -24,6 +24,6 @@
     absl::Time filled_at_ = absl::InfinitePast();
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/claim_lane.cpp
+++ b/oriolefall/objects/claim_lane.cpp
@@ -1,9 +1,9 @@
-#include "oriolefall/platform/claim_lane.hpp"
+#include "oriolefall/objects/claim_lane.hpp"
 
 #include <functional>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 claim_lane::claim_lane(object_store store, std::function<void()> stop_store,
                        std::string holder, std::size_t capacity,
@@ -53,4 +53,4 @@
     recorded_(claims_.record(order.workspace, order.key, order.verdict));
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/claim_lane.hpp
+++ b/oriolefall/objects/claim_lane.hpp
@@ -1,17 +1,17 @@
-#ifndef ORIOLEFALL_PLATFORM_CLAIM_LANE_HPP
-#define ORIOLEFALL_PLATFORM_CLAIM_LANE_HPP
+#ifndef ORIOLEFALL_OBJECTS_CLAIM_LANE_HPP
+#define ORIOLEFALL_OBJECTS_CLAIM_LANE_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/decision/action.hpp"
 #include "oriolefall/decision/event.hpp"
-#include "oriolefall/platform/claim_store.hpp"
+#include "oriolefall/objects/claim_store.hpp"
 
 #include <cstddef>
 #include <functional>
 #include <variant>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// What the decisions ask of the claims.
 using claim_order = std::variant<decision::claim_key, decision::record_outcome>;
@@ -58,6 +58,6 @@
     core::duty_thread thread_;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/claim_store.cpp
+++ b/oriolefall/objects/claim_store.cpp
@@ -1,4 +1,4 @@
-#include "oriolefall/platform/claim_store.hpp"
+#include "oriolefall/objects/claim_store.hpp"
 
 #include "oriolefall/core/concat.hpp"
 
@@ -10,7 +10,7 @@
 #include <optional>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -174,4 +174,4 @@
     return is_kept;
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/claim_store.hpp
+++ b/oriolefall/objects/claim_store.hpp
@@ -1,10 +1,10 @@
-#ifndef ORIOLEFALL_PLATFORM_CLAIM_STORE_HPP
-#define ORIOLEFALL_PLATFORM_CLAIM_STORE_HPP
+#ifndef ORIOLEFALL_OBJECTS_CLAIM_STORE_HPP
+#define ORIOLEFALL_OBJECTS_CLAIM_STORE_HPP
 
 #include "oriolefall/core/ids.hpp"
 #include "oriolefall/core/verdict.hpp"
 #include "oriolefall/decision/event.hpp"
-#include "oriolefall/platform/object_store.hpp"
+#include "oriolefall/objects/object_store.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -14,7 +14,7 @@
 #include <set>
 #include <string>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Lets a request with an idempotency key run at most once in the fleet.
 ///
@@ -78,6 +78,6 @@
     std::deque<std::string> unresolved_order_;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/client.cpp
+++ b/oriolefall/objects/client.cpp
@@ -1,8 +1,8 @@
-#include "oriolefall/platform/client.hpp"
+#include "oriolefall/objects/client.hpp"
 
 #include "oriolefall/core/concat.hpp"
-#include "oriolefall/platform/http_status.hpp"
-#include "oriolefall/platform/wire.hpp"
+#include "oriolefall/objects/http_status.hpp"
+#include "oriolefall/objects/wire.hpp"
 
 #include <absl/strings/numbers.h>
 
@@ -15,7 +15,7 @@
 #include <random>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -362,4 +362,4 @@
                         next_write_++);
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/client.hpp
+++ b/oriolefall/objects/client.hpp
@@ -1,10 +1,10 @@
-#ifndef ORIOLEFALL_PLATFORM_CLIENT_HPP
-#define ORIOLEFALL_PLATFORM_CLIENT_HPP
+#ifndef ORIOLEFALL_OBJECTS_CLIENT_HPP
+#define ORIOLEFALL_OBJECTS_CLIENT_HPP
 
-#include "oriolefall/platform/call_budget.hpp"
-#include "oriolefall/platform/client_settings.hpp"
-#include "oriolefall/platform/object_store.hpp"
-#include "oriolefall/platform/stop_signal.hpp"
+#include "oriolefall/objects/call_budget.hpp"
+#include "oriolefall/objects/client_settings.hpp"
+#include "oriolefall/objects/object_store.hpp"
+#include "oriolefall/objects/stop_signal.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -17,7 +17,7 @@
 class Client;
 } // namespace httplib
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Calls the platform's object API over HTTP (docs/STAND_INS.md). Each call
 /// repeats what failed, with backoff, within a budget of calls. A write whose
@@ -124,6 +124,6 @@
     std::uint64_t next_write_ = 1;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/client_settings.hpp
+++ b/oriolefall/objects/client_settings.hpp
@@ -1,10 +1,10 @@
-#ifndef ORIOLEFALL_PLATFORM_CLIENT_SETTINGS_HPP
-#define ORIOLEFALL_PLATFORM_CLIENT_SETTINGS_HPP
+#ifndef ORIOLEFALL_OBJECTS_CLIENT_SETTINGS_HPP
+#define ORIOLEFALL_OBJECTS_CLIENT_SETTINGS_HPP
 
 #include "oriolefall/core/backend_server.hpp"
 #include "oriolefall/core/clock.hpp"
-#include "oriolefall/platform/backoff.hpp"
-#include "oriolefall/platform/result.hpp"
+#include "oriolefall/objects/backoff.hpp"
+#include "oriolefall/objects/result.hpp"
 
 #include <absl/time/time.h>
 
@@ -14,7 +14,7 @@
 #include <optional>
 #include <string>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// What a call to the platform is counted as.
 enum class call_type : std::uint8_t
@@ -65,6 +65,6 @@
     std::function<void(const call_noted&)> note;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/client_write.cpp
+++ b/oriolefall/objects/client_write.cpp
@@ -1,10 +1,10 @@
-#include "oriolefall/platform/client.hpp"
+#include "oriolefall/objects/client.hpp"
 
 #include "oriolefall/core/concat.hpp"
-#include "oriolefall/platform/http_status.hpp"
-#include "oriolefall/platform/wire.hpp"
+#include "oriolefall/objects/http_status.hpp"
+#include "oriolefall/objects/wire.hpp"
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 write_result client::write(call_type type, const pending_write& order)
 {
@@ -100,4 +100,4 @@
     return unknown_outcome{failure::no_answer};
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/http_status.hpp
+++ b/oriolefall/objects/http_status.hpp
@@ -1,8 +1,8 @@
-#ifndef ORIOLEFALL_PLATFORM_HTTP_STATUS_HPP
-#define ORIOLEFALL_PLATFORM_HTTP_STATUS_HPP
+#ifndef ORIOLEFALL_OBJECTS_HTTP_STATUS_HPP
+#define ORIOLEFALL_OBJECTS_HTTP_STATUS_HPP
 
 /// Statuses of RFC 9110 that the object API uses.
-namespace oriolefall::platform::http_status {
+namespace oriolefall::objects::http_status {
 
 inline constexpr int first_error = 400;
 inline constexpr int not_found = 404;
@@ -12,6 +12,6 @@
 inline constexpr int first_server_error = 500;
 inline constexpr int unavailable = 503;
 
-} // namespace oriolefall::platform::http_status
+} // namespace oriolefall::objects::http_status
 
 #endif
--- a/oriolefall/platform/move_duty.cpp
+++ b/oriolefall/objects/move_duty.cpp
@@ -1,12 +1,12 @@
-#include "oriolefall/platform/move_duty.hpp"
+#include "oriolefall/objects/move_duty.hpp"
 
-#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/objects/move_text.hpp"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -140,4 +140,4 @@
     hooks_.waits(waiting_told_);
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/move_duty.hpp
+++ b/oriolefall/objects/move_duty.hpp
@@ -1,11 +1,11 @@
-#ifndef ORIOLEFALL_PLATFORM_MOVE_DUTY_HPP
-#define ORIOLEFALL_PLATFORM_MOVE_DUTY_HPP
+#ifndef ORIOLEFALL_OBJECTS_MOVE_DUTY_HPP
+#define ORIOLEFALL_OBJECTS_MOVE_DUTY_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/move/mover.hpp"
-#include "oriolefall/platform/object_store.hpp"
+#include "oriolefall/objects/object_store.hpp"
 
 #include <absl/time/time.h>
 
@@ -13,7 +13,7 @@
 #include <functional>
 #include <string>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Fixed for the life of a `move_duty`.
 struct move_duty_settings
@@ -86,6 +86,6 @@
     core::duty_thread thread_;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/move_store.cpp
+++ b/oriolefall/objects/move_store.cpp
@@ -1,10 +1,10 @@
-#include "oriolefall/platform/move_store.hpp"
+#include "oriolefall/objects/move_store.hpp"
 
-#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/objects/move_text.hpp"
 
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -114,4 +114,4 @@
     return last;
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/move_store.hpp
+++ b/oriolefall/objects/move_store.hpp
@@ -1,9 +1,9 @@
-#ifndef ORIOLEFALL_PLATFORM_MOVE_STORE_HPP
-#define ORIOLEFALL_PLATFORM_MOVE_STORE_HPP
+#ifndef ORIOLEFALL_OBJECTS_MOVE_STORE_HPP
+#define ORIOLEFALL_OBJECTS_MOVE_STORE_HPP
 
 #include "oriolefall/core/settings_error.hpp"
 #include "oriolefall/move/move_object.hpp"
-#include "oriolefall/platform/object_store.hpp"
+#include "oriolefall/objects/object_store.hpp"
 #include "oriolefall/settings/change.hpp"
 
 #include <compare>
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// A move and the version that it has.
 struct stored_move
@@ -85,6 +85,6 @@
     std::vector<settings::team_key> keys_;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/move_text.cpp
+++ b/oriolefall/objects/move_text.cpp
@@ -1,4 +1,4 @@
-#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/objects/move_text.hpp"
 
 #include "oriolefall/core/concat.hpp"
 #include "oriolefall/settings/duplicates.hpp"
@@ -11,7 +11,7 @@
 #include <set>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -251,4 +251,4 @@
     return catalogue;
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/move_text.hpp
+++ b/oriolefall/objects/move_text.hpp
@@ -1,5 +1,5 @@
-#ifndef ORIOLEFALL_PLATFORM_MOVE_TEXT_HPP
-#define ORIOLEFALL_PLATFORM_MOVE_TEXT_HPP
+#ifndef ORIOLEFALL_OBJECTS_MOVE_TEXT_HPP
+#define ORIOLEFALL_OBJECTS_MOVE_TEXT_HPP
 
 #include "oriolefall/core/settings_error.hpp"
 #include "oriolefall/move/lease.hpp"
@@ -12,7 +12,7 @@
 #include <variant>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Where a move is kept: in its team's subtree of the settings, so that it
 /// reaches every instance as settings do.
@@ -36,6 +36,6 @@
 /// Each setting of a move, in the order of the parser.
 [[nodiscard]] std::vector<settings::setting_description> describe_move();
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/object.cpp
+++ b/oriolefall/objects/object.cpp
@@ -1,6 +1,6 @@
-#include "oriolefall/platform/object.hpp"
+#include "oriolefall/objects/object.hpp"
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 std::optional<std::uint64_t> expected_version(const write_condition& condition)
 {
@@ -11,4 +11,4 @@
     return std::nullopt;
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/object.hpp
+++ b/oriolefall/objects/object.hpp
@@ -1,5 +1,5 @@
-#ifndef ORIOLEFALL_PLATFORM_OBJECT_HPP
-#define ORIOLEFALL_PLATFORM_OBJECT_HPP
+#ifndef ORIOLEFALL_OBJECTS_OBJECT_HPP
+#define ORIOLEFALL_OBJECTS_OBJECT_HPP
 
 #include "oriolefall/core/backend_server.hpp"
 #include "oriolefall/core/ids.hpp"
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// One object of the platform's store.
 struct stored_object
@@ -97,6 +97,6 @@
 [[nodiscard]] std::optional<std::uint64_t>
 expected_version(const write_condition& condition);
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/object_store.hpp
+++ b/oriolefall/objects/object_store.hpp
@@ -1,7 +1,7 @@
-#ifndef ORIOLEFALL_PLATFORM_OBJECT_STORE_HPP
-#define ORIOLEFALL_PLATFORM_OBJECT_STORE_HPP
+#ifndef ORIOLEFALL_OBJECTS_OBJECT_STORE_HPP
+#define ORIOLEFALL_OBJECTS_OBJECT_STORE_HPP
 
-#include "oriolefall/platform/result.hpp"
+#include "oriolefall/objects/result.hpp"
 
 #include <absl/time/time.h>
 
@@ -9,7 +9,7 @@
 #include <functional>
 #include <string>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// The calls that the platform's service takes, as hooks: a `client` gives
 /// them over HTTP, a test gives others. Each blocks until its result or its
@@ -36,6 +36,6 @@
     std::function<write_result(const listed_instance& self)> announce;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/reader.cpp
+++ b/oriolefall/objects/reader.cpp
@@ -1,9 +1,9 @@
-#include "oriolefall/platform/reader.hpp"
+#include "oriolefall/objects/reader.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -90,4 +90,4 @@
            backoff_delay(settings_.backoff, failures_++, settings_.random);
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/reader.hpp
+++ b/oriolefall/objects/reader.hpp
@@ -1,11 +1,11 @@
-#ifndef ORIOLEFALL_PLATFORM_READER_HPP
-#define ORIOLEFALL_PLATFORM_READER_HPP
+#ifndef ORIOLEFALL_OBJECTS_READER_HPP
+#define ORIOLEFALL_OBJECTS_READER_HPP
 
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/duty_thread.hpp"
-#include "oriolefall/platform/backoff.hpp"
-#include "oriolefall/platform/object_store.hpp"
-#include "oriolefall/platform/stop_signal.hpp"
+#include "oriolefall/objects/backoff.hpp"
+#include "oriolefall/objects/object_store.hpp"
+#include "oriolefall/objects/stop_signal.hpp"
 
 #include <absl/time/time.h>
 
@@ -16,7 +16,7 @@
 #include <string>
 #include <variant>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// The platform could not be reached; what was read before may be old.
 struct store_unreachable
@@ -86,6 +86,6 @@
     core::duty_thread thread_;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/result.cpp
+++ b/oriolefall/objects/result.cpp
@@ -1,9 +1,9 @@
-#include "oriolefall/platform/result.hpp"
+#include "oriolefall/objects/result.hpp"
 
 #include <array>
 #include <cassert>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 std::string_view to_string(failure value)
 {
@@ -15,4 +15,4 @@
     return names[index];
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/result.hpp
+++ b/oriolefall/objects/result.hpp
@@ -1,7 +1,7 @@
-#ifndef ORIOLEFALL_PLATFORM_RESULT_HPP
-#define ORIOLEFALL_PLATFORM_RESULT_HPP
+#ifndef ORIOLEFALL_OBJECTS_RESULT_HPP
+#define ORIOLEFALL_OBJECTS_RESULT_HPP
 
-#include "oriolefall/platform/object.hpp"
+#include "oriolefall/objects/object.hpp"
 
 #include <absl/time/time.h>
 
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Why a call to the platform gave no result. Each is a counter.
 enum class failure : std::uint8_t
@@ -95,6 +95,6 @@
 using instances_result =
     std::variant<std::vector<listed_instance>, unavailable>;
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/settings_duty.cpp
+++ b/oriolefall/objects/settings_duty.cpp
@@ -1,15 +1,15 @@
-#include "oriolefall/platform/settings_duty.hpp"
+#include "oriolefall/objects/settings_duty.hpp"
 
 #include "oriolefall/move/apply.hpp"
-#include "oriolefall/platform/move_text.hpp"
-#include "oriolefall/platform/settings_store.hpp"
+#include "oriolefall/objects/move_text.hpp"
+#include "oriolefall/objects/settings_store.hpp"
 
 #include <algorithm>
 #include <iterator>
 #include <set>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -159,4 +159,4 @@
     hooks_.publish(make_settings_in_force(replica_));
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/settings_duty.hpp
+++ b/oriolefall/objects/settings_duty.hpp
@@ -1,11 +1,11 @@
-#ifndef ORIOLEFALL_PLATFORM_SETTINGS_DUTY_HPP
-#define ORIOLEFALL_PLATFORM_SETTINGS_DUTY_HPP
+#ifndef ORIOLEFALL_OBJECTS_SETTINGS_DUTY_HPP
+#define ORIOLEFALL_OBJECTS_SETTINGS_DUTY_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/decision/event.hpp"
 #include "oriolefall/move/move_object.hpp"
-#include "oriolefall/platform/reader.hpp"
+#include "oriolefall/objects/reader.hpp"
 #include "oriolefall/settings/assembly.hpp"
 #include "oriolefall/settings/replica.hpp"
 
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// A peer told the versions that it has in force.
 struct peer_offer
@@ -115,6 +115,6 @@
 [[nodiscard]] settings_in_force
 make_settings_in_force(const settings::replica& tree);
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/settings_store.cpp
+++ b/oriolefall/objects/settings_store.cpp
@@ -1,10 +1,10 @@
-#include "oriolefall/platform/settings_store.hpp"
+#include "oriolefall/objects/settings_store.hpp"
 
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 namespace {
 
@@ -115,4 +115,4 @@
     }
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/settings_store.hpp
+++ b/oriolefall/objects/settings_store.hpp
@@ -1,11 +1,11 @@
-#ifndef ORIOLEFALL_PLATFORM_SETTINGS_STORE_HPP
-#define ORIOLEFALL_PLATFORM_SETTINGS_STORE_HPP
+#ifndef ORIOLEFALL_OBJECTS_SETTINGS_STORE_HPP
+#define ORIOLEFALL_OBJECTS_SETTINGS_STORE_HPP
 
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/ids.hpp"
-#include "oriolefall/platform/backoff.hpp"
-#include "oriolefall/platform/object_store.hpp"
-#include "oriolefall/platform/stop_signal.hpp"
+#include "oriolefall/objects/backoff.hpp"
+#include "oriolefall/objects/object_store.hpp"
+#include "oriolefall/objects/stop_signal.hpp"
 #include "oriolefall/settings/change.hpp"
 
 #include <absl/time/time.h>
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// The change is durable and will be in force at every instance.
 struct change_accepted
@@ -98,6 +98,6 @@
 wait_in_force(const settings::path_version& wanted, const lagging_hook& lagging,
               const in_force_settings& settings, stop_signal& stop);
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/stop_signal.hpp
+++ b/oriolefall/objects/stop_signal.hpp
@@ -1,5 +1,5 @@
-#ifndef ORIOLEFALL_PLATFORM_STOP_SIGNAL_HPP
-#define ORIOLEFALL_PLATFORM_STOP_SIGNAL_HPP
+#ifndef ORIOLEFALL_OBJECTS_STOP_SIGNAL_HPP
+#define ORIOLEFALL_OBJECTS_STOP_SIGNAL_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
 
@@ -7,7 +7,7 @@
 
 #include <chrono>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Lets a thread wait for a time and another one end that wait for good. Any
 /// thread.
@@ -36,6 +36,6 @@
     core::bounded_ring<nothing> ring_{1};
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- a/oriolefall/platform/wire.cpp
+++ b/oriolefall/objects/wire.cpp
@@ -1,11 +1,11 @@
-#include "oriolefall/platform/wire.hpp"
+#include "oriolefall/objects/wire.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <functional>
 
-namespace oriolefall::platform::wire {
+namespace oriolefall::objects::wire {
 
 namespace {
 
@@ -146,4 +146,4 @@
     return body.dump();
 }
 
-} // namespace oriolefall::platform::wire
+} // namespace oriolefall::objects::wire
--- a/oriolefall/platform/wire.hpp
+++ b/oriolefall/objects/wire.hpp
@@ -1,7 +1,7 @@
-#ifndef ORIOLEFALL_PLATFORM_WIRE_HPP
-#define ORIOLEFALL_PLATFORM_WIRE_HPP
+#ifndef ORIOLEFALL_OBJECTS_WIRE_HPP
+#define ORIOLEFALL_OBJECTS_WIRE_HPP
 
-#include "oriolefall/platform/object.hpp"
+#include "oriolefall/objects/object.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -11,7 +11,7 @@
 
 /// The platform's JSON, read and written. Nothing outside this package sees
 /// it. Any thread.
-namespace oriolefall::platform::wire {
+namespace oriolefall::objects::wire {
 
 /// Body of a put. `value` must be the JSON text of an object without the
 /// keys that the client adds; nothing when it is not.
@@ -30,6 +30,6 @@
 parse_instances(const std::string& body);
 [[nodiscard]] std::string print_instance(const listed_instance& instance);
 
-} // namespace oriolefall::platform::wire
+} // namespace oriolefall::objects::wire
 
 #endif
--- a/oriolefall/platform/writer.cpp
+++ b/oriolefall/objects/writer.cpp
@@ -1,8 +1,8 @@
-#include "oriolefall/platform/writer.hpp"
+#include "oriolefall/objects/writer.hpp"
 
 #include <utility>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 writer::writer(object_store store, std::function<void()> stop_store,
                std::size_t capacity)
@@ -44,4 +44,4 @@
     order.done(store_.announce(order.self));
 }
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
--- a/oriolefall/platform/writer.hpp
+++ b/oriolefall/objects/writer.hpp
@@ -1,15 +1,15 @@
-#ifndef ORIOLEFALL_PLATFORM_WRITER_HPP
-#define ORIOLEFALL_PLATFORM_WRITER_HPP
+#ifndef ORIOLEFALL_OBJECTS_WRITER_HPP
+#define ORIOLEFALL_OBJECTS_WRITER_HPP
 
 #include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
-#include "oriolefall/platform/object_store.hpp"
+#include "oriolefall/objects/object_store.hpp"
 
 #include <functional>
 #include <string>
 #include <variant>
 
-namespace oriolefall::platform {
+namespace oriolefall::objects {
 
 /// Takes the result of a write, on the writer's thread; must not block long.
 using write_done = std::function<void(const write_result&)>;
@@ -67,6 +67,6 @@
     core::duty_thread thread_;
 };
 
-} // namespace oriolefall::platform
+} // namespace oriolefall::objects
 
 #endif
--- /dev/null
+++ b/oriolefall/router/router.cpp
@@ -0,0 +1,313 @@
+#include "oriolefall/router/router.hpp"
+
+#include "oriolefall/core/clock.hpp"
+#include "oriolefall/core/text.hpp"
+#include "oriolefall/membership/near_instances.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+#include <utility>
+
+namespace oriolefall::router {
+
+namespace {
+
+/// Events that one open request can have waiting at most.
+constexpr std::size_t events_per_request = 4;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_not_found = 404;
+
+std::function<std::uint64_t()> random_numbers()
+{
+    auto source = std::make_shared<std::mt19937_64>(std::random_device{}());
+    return [source] { return (*source)(); };
+}
+
+} // namespace
+
+router::router(router_settings settings, router_hooks hooks)
+    : settings_(std::move(settings)), hooks_(std::move(hooks)),
+      log_({}, observe::standard_output()),
+      limits_(std::make_shared<const routing::caller_limits>()),
+      members_(std::make_shared<const std::vector<membership::member>>())
+{
+    settings_.dispatch.most_open = settings_.forward.most_open;
+    decide_ = std::make_unique<decide_duty>(
+        settings_.dispatch,
+        dispatch::dispatch_hooks{dispatch::expected_time({}), random_numbers()},
+        decide_duty::hooks{
+            [this](const dispatch::action& action) {
+                return forward_->give(action);
+            },
+            [this](const dispatch::decision_note& value) { note(value); }},
+        events_per_request * settings_.forward.most_open);
+    forward_ = std::make_unique<forward::forwarder>(
+        settings_.forward, hooks_.requests,
+        forward::forwarder_hooks{[this](dispatch::event event) {
+                                     return decide_->tell(std::move(event));
+                                 },
+                                 [this] { return *limits_.get(); }});
+    pages_ = std::make_unique<page_duty>(
+        [this](const std::string& target) { return make_page(target); });
+    control_ = std::make_unique<peer::control_duty>(settings_.control,
+                                                    control_hooks());
+    store_ = std::make_unique<follow::store_duty>(settings_.store, hooks_.store,
+                                                  store_hooks());
+}
+
+router::~router()
+{
+    stop();
+}
+
+bool router::start()
+{
+    if (!forward_->listen() || !pages_->listen(settings_.ready) ||
+        !pages_->listen(settings_.directory))
+        return false;
+    decide_->start();
+    forward_thread_.emplace("forward", [this] { forward_->run(); });
+    pages_->start();
+    store_->start({settings_.instances_collection, settings_.instance.value(),
+                   hooks_.print_member(self())});
+    log_.write("started", {{"instance", settings_.instance.value()}});
+    return true;
+}
+
+void router::leave()
+{
+    leaving_ = true;
+    log_.write("leaving", {{"instance", settings_.instance.value()}});
+    control_->give(membership::leave_requested{});
+    store_->leave();
+}
+
+void router::stop_taking(bool closes_listener)
+{
+    forward_->leave(closes_listener);
+}
+
+bool router::has_open_requests() const
+{
+    return forward_->counts().open_requests > 0;
+}
+
+void router::stop()
+{
+    store_->stop();
+    control_->stop();
+    forward_->stop();
+    forward_thread_.reset();
+    decide_->stop();
+    pages_->stop();
+}
+
+observe::line_log& router::log()
+{
+    return log_;
+}
+
+follow::store_duty_hooks router::store_hooks()
+{
+    follow::store_duty_hooks hooks;
+    hooks.changed = [this](const std::string& collection,
+                           const follow::collection_view& view) {
+        if (collection == settings_.settings_collection)
+            on_settings(view);
+        else
+            on_servers(view);
+        join_when_ready();
+    };
+    hooks.listed = [this](const std::vector<follow::stored_object>& objects) {
+        on_instances(objects);
+    };
+    hooks.away = [this](const std::string& collection, bool away,
+                        const std::string& cause) {
+        log_.write(away ? "store_lost" : "store_back",
+                   {{"collection", collection}, {"cause", cause}});
+    };
+    return hooks;
+}
+
+peer::control_hooks router::control_hooks()
+{
+    peer::control_hooks hooks;
+    hooks.members_changed = [this](const peer::members_ptr& members) {
+        on_members(members);
+    };
+    hooks.settings_kept = [](const auto&) {};
+    hooks.reader_role_changed = [](bool) {};
+    hooks.other_message = [](const auto&) {};
+    return hooks;
+}
+
+void router::on_settings(const follow::collection_view& view)
+{
+    const auto found = view.objects.find(settings_.settings_name);
+    if (found == view.objects.end())
+        return;
+    auto parsed = hooks_.parse_routes(found->second.value);
+    if (!parsed) {
+        log_.write("settings_unreadable",
+                   {{"revision", std::to_string(found->second.revision)}});
+        return;
+    }
+    if (!routing::may_replace(table_ ? &table_->settings() : nullptr, *parsed))
+        return;
+    limits_.set(std::make_shared<const routing::caller_limits>(parsed->limits));
+    table_ = std::make_shared<const routing::route_table>(std::move(*parsed));
+    const bool told = decide_->tell(dispatch::routes_changed{table_});
+    has_routes_ = has_routes_ || told;
+    const auto& now = table_->settings();
+    log_.write("settings_in_force",
+               {{"version", std::to_string(now.version)},
+                {"routes", std::to_string(now.routes.size())},
+                {"told", told ? "yes" : "no"}});
+}
+
+void router::on_servers(const follow::collection_view& view)
+{
+    std::vector<dispatch::server_entry> entries;
+    dispatch::servers_changed change;
+    const auto add = [&](const follow::stored_object& object) {
+        auto entry = hooks_.parse_server(object);
+        if (entry)
+            entries.push_back(std::move(*entry));
+        return entry.has_value();
+    };
+    for (const auto& [name, object] : view.objects)
+        add(object);
+    for (const auto& [name, object] : view.doubtful)
+        if (add(object))
+            change.doubtful.emplace_back(name);
+    const auto leaving = std::ranges::count_if(
+        entries, [](const auto& entry) { return entry.leaving; });
+    log_.write("servers_known",
+               {{"count", std::to_string(entries.size())},
+                {"leaving", std::to_string(leaving)},
+                {"doubtful", std::to_string(change.doubtful.size())}});
+    change.servers =
+        std::make_shared<const std::vector<dispatch::server_entry>>(
+            std::move(entries));
+    const bool told = decide_->tell(std::move(change));
+    has_servers_ = has_servers_ || told;
+}
+
+void router::on_instances(const std::vector<follow::stored_object>& objects)
+{
+    membership::platform_listed listed;
+    for (const follow::stored_object& object : objects)
+        if (auto member = hooks_.parse_member(object))
+            listed.members.push_back(std::move(*member));
+    control_->give(std::move(listed));
+}
+
+void router::on_members(const peer::members_ptr& members)
+{
+    members_.set(members);
+    const auto there = static_cast<std::uint32_t>(
+        std::ranges::count_if(*members, membership::takes_part));
+    if (there <= most_instances_)
+        return;
+    // Instances that can't be heard may still spend their share: the number
+    // never falls.
+    most_instances_ = there;
+    if (!decide_->tell(dispatch::fleet_changed{there}))
+        log_.write("fleet_size_not_told", {});
+}
+
+void router::join_when_ready()
+{
+    if (!is_ready() || joined_.exchange(true))
+        return;
+    if (!control_->start())
+        log_.write("peers_not_listening", {});
+    log_.write("ready", {});
+}
+
+bool router::is_ready() const
+{
+    return has_routes_ && has_servers_ && !leaving_;
+}
+
+page router::make_page(const std::string& target)
+{
+    const question asked = hooks_.parse_question(target);
+    if (std::holds_alternative<ready_question>(asked))
+        return {is_ready() ? status_ok : status_unavailable, "text/plain",
+                is_ready() ? "ready\n" : "not ready\n"};
+    if (const auto* address = std::get_if<address_question>(&asked)) {
+        const auto chosen = addresses_for(address->caller);
+        if (chosen.empty())
+            return {status_unavailable, "application/json", "{}"};
+        return {status_ok, "application/json",
+                hooks_.print_addresses(chosen, settings_.address_lifetime)};
+    }
+    if (std::holds_alternative<metrics_question>(asked))
+        return {status_ok, "text/plain; version=0.0.4", metrics_text()};
+    return {status_not_found, "text/plain", "not found\n"};
+}
+
+std::vector<core::endpoint>
+router::addresses_for(const core::location& caller) const
+{
+    auto known = *members_.get();
+    const auto own =
+        std::ranges::find(known, settings_.instance, &membership::member::id);
+    if (own != known.end())
+        known.erase(own);
+    if (is_ready())
+        known.push_back(self());
+    const auto chosen = membership::near_instances(caller, known, {});
+    std::vector<core::endpoint> addresses;
+    std::ranges::transform(chosen, std::back_inserter(addresses),
+                           &membership::member::callers);
+    return addresses;
+}
+
+std::string router::metrics_text() const
+{
+    const auto counts = forward_->counts();
+    return absl::StrCat(
+        "oriolefall_callers ", counts.callers, "\noriolefall_open_requests ",
+        counts.open_requests, "\noriolefall_server_connections_opened_total ",
+        counts.server_connections_opened,
+        "\noriolefall_requests_answered_total ", answered_.load(),
+        "\noriolefall_requests_failed_total ", failures_.load(), "\n");
+}
+
+membership::member router::self() const
+{
+    membership::member member;
+    member.id = settings_.instance;
+    member.incarnation = settings_.control.link.incarnation;
+    member.callers = settings_.forward.listen;
+    member.peers = settings_.control.link.listen;
+    member.location = settings_.location;
+    return member;
+}
+
+void router::note(const dispatch::decision_note& value)
+{
+    const auto request = std::to_string(value.id.value());
+    if (value.is_failure) {
+        ++failures_;
+        log_.write("request", {{"request", request},
+                               {"attempt", value.caller_id},
+                               {"outcome", value.outcome},
+                               {"inputs", value.inputs}});
+        return;
+    }
+    if (value.outcome == "answered")
+        ++answered_;
+    log_.write_routine("request", {{"request", request},
+                                   {"attempt", value.caller_id},
+                                   {"outcome", value.outcome},
+                                   {"inputs", value.inputs}});
+}
+
+} // namespace oriolefall::router
--- /dev/null
+++ b/oriolefall/router/router.hpp
@@ -0,0 +1,77 @@
+#ifndef ORIOLEFALL_ROUTER_ROUTER_HPP
+#define ORIOLEFALL_ROUTER_ROUTER_HPP
+
+#include "oriolefall/core/latest_value.hpp"
+#include "oriolefall/forward/forwarder.hpp"
+#include "oriolefall/observe/line_log.hpp"
+#include "oriolefall/router/decide_duty.hpp"
+#include "oriolefall/router/page_duty.hpp"
+#include "oriolefall/router/router_settings.hpp"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace oriolefall::router {
+
+/// One instance of the router: its duties and the rings between them.
+class router
+{
+public:
+    router(router_settings settings, router_hooks hooks);
+    ~router();
+    router(const router&) = delete;
+    router& operator=(const router&) = delete;
+
+    /// False when an address can't be listened at.
+    [[nodiscard]] bool start();
+    /// No longer named to callers; goes on answering.
+    void leave();
+    /// Takes no request after the open ones; with `closes_listener` no new
+    /// connections either.
+    void stop_taking(bool closes_listener);
+    [[nodiscard]] bool has_open_requests() const;
+    void stop();
+    observe::line_log& log();
+
+private:
+    [[nodiscard]] follow::store_duty_hooks store_hooks();
+    [[nodiscard]] peer::control_hooks control_hooks();
+    void on_settings(const follow::collection_view& view);
+    void on_servers(const follow::collection_view& view);
+    void on_instances(const std::vector<follow::stored_object>& objects);
+    void on_members(const peer::members_ptr& members);
+    /// Joins the other instances once requests can be answered.
+    void join_when_ready();
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] page make_page(const std::string& target);
+    [[nodiscard]] std::vector<core::endpoint>
+    addresses_for(const core::location& caller) const;
+    [[nodiscard]] std::string metrics_text() const;
+    [[nodiscard]] membership::member self() const;
+    void note(const dispatch::decision_note& value);
+
+    router_settings settings_;
+    router_hooks hooks_;
+    observe::line_log log_;
+    core::latest_value<routing::caller_limits> limits_;
+    core::latest_value<std::vector<membership::member>> members_;
+    std::shared_ptr<const routing::route_table> table_;
+    std::atomic<bool> has_routes_ = false;
+    std::atomic<bool> has_servers_ = false;
+    std::atomic<bool> leaving_ = false;
+    std::atomic<bool> joined_ = false;
+    std::uint32_t most_instances_ = 1;
+    std::atomic<std::uint64_t> failures_ = 0;
+    std::atomic<std::uint64_t> answered_ = 0;
+    std::unique_ptr<decide_duty> decide_;
+    std::unique_ptr<forward::forwarder> forward_;
+    std::unique_ptr<page_duty> pages_;
+    std::unique_ptr<peer::control_duty> control_;
+    std::unique_ptr<follow::store_duty> store_;
+    std::optional<core::duty_thread> forward_thread_;
+};
+
+} // namespace oriolefall::router
+
+#endif
--- a/programs/oriolefall/commands.hpp
+++ b/programs/oriolefall/commands.hpp
@@ -11,6 +11,7 @@
 [[nodiscard]] command check_command();
 [[nodiscard]] command entry_command();
 [[nodiscard]] command explain_command();
+[[nodiscard]] command instance_command();
 [[nodiscard]] command move_command();
 [[nodiscard]] command serve_command();
 [[nodiscard]] command settings_command();
--- a/programs/oriolefall/move_command.cpp
+++ b/programs/oriolefall/move_command.cpp
@@ -1,5 +1,5 @@
-#include "oriolefall/platform/move_store.hpp"
-#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/objects/move_store.hpp"
+#include "oriolefall/objects/move_text.hpp"
 #include "programs/oriolefall/commands.hpp"
 #include "programs/oriolefall/platform_access.hpp"
 #include "programs/oriolefall/settings_file.hpp"
@@ -14,7 +14,7 @@
 namespace {
 
 namespace po = boost::program_options;
-using platform::move_store;
+using objects::move_store;
 
 core::team_name team_of(const po::variables_map& values)
 {
@@ -28,7 +28,7 @@
     return exit_done;
 }
 
-int report_ended(const std::string& action, const platform::move_ended& ended)
+int report_ended(const std::string& action, const objects::move_ended& ended)
 {
     return report_failure(action, "the move has ended: " +
                                       std::string(to_string(ended.phase)));
@@ -37,24 +37,24 @@
 /// Tells how a write of `name` ended; `file` holds the text of a new move.
 int report_written(const std::string& action, const std::string& name,
                    const std::string& file,
-                   const platform::move_write_result& result)
+                   const objects::move_write_result& result)
 {
-    if (const auto* done = std::get_if<platform::written>(&result))
+    if (const auto* done = std::get_if<objects::written>(&result))
         return print_version(name, done->version);
-    if (const auto* faulty = std::get_if<platform::invalid_move>(&result)) {
+    if (const auto* faulty = std::get_if<objects::invalid_move>(&result)) {
         print_faults(std::cout, file, faulty->faults);
         return exit_bad_input;
     }
-    if (const auto* over = std::get_if<platform::move_ended>(&result))
+    if (const auto* over = std::get_if<objects::move_ended>(&result))
         return report_ended(action, *over);
-    if (const auto* refused = std::get_if<platform::team_refused>(&result))
+    if (const auto* refused = std::get_if<objects::team_refused>(&result))
         return report_failure(
             action, "not accepted: " + std::string(to_string(refused->reason)));
-    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+    if (const auto* failed = std::get_if<objects::unavailable>(&result))
         return report_unavailable(action, *failed);
-    if (std::holds_alternative<platform::not_found>(result))
+    if (std::holds_alternative<objects::not_found>(result))
         return report_failure(action, name + ": there is no such move");
-    if (std::holds_alternative<platform::conflict>(result))
+    if (std::holds_alternative<objects::conflict>(result))
         return report_failure(action,
                               "conflict: the move exists, or was changed at "
                               "the same moment");
@@ -80,13 +80,13 @@
     const auto client = make_client(access);
     move_store moves(client->as_object_store(), access.team_keys);
     const auto result = moves.show(team_of(values), core::move_name(name));
-    if (const auto* found = std::get_if<platform::stored_move>(&result)) {
-        std::cout << platform::print_move(found->object) << '\n';
+    if (const auto* found = std::get_if<objects::stored_move>(&result)) {
+        std::cout << objects::print_move(found->object) << '\n';
         return exit_done;
     }
-    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+    if (const auto* failed = std::get_if<objects::unavailable>(&result))
         return report_unavailable("move show", *failed);
-    if (const auto* faulty = std::get_if<platform::invalid_move>(&result)) {
+    if (const auto* faulty = std::get_if<objects::invalid_move>(&result)) {
         print_faults(std::cout, name, faulty->faults);
         return exit_failed;
     }
@@ -98,10 +98,10 @@
     const auto client = make_client(access);
     move_store moves(client->as_object_store(), access.team_keys);
     const auto result = moves.list();
-    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+    if (const auto* failed = std::get_if<objects::unavailable>(&result))
         return report_unavailable("move list", *failed);
-    const auto& all = std::get<std::vector<platform::stored_move>>(result);
-    std::ranges::for_each(all, [](const platform::stored_move& each) {
+    const auto& all = std::get<std::vector<objects::stored_move>>(result);
+    std::ranges::for_each(all, [](const objects::stored_move& each) {
         const move::move_object& object = each.object;
         std::cout << nlohmann::json{{"team", object.team.value()},
                                     {"move", object.name.value()},
--- a/programs/oriolefall/platform_access.cpp
+++ b/programs/oriolefall/platform_access.cpp
@@ -74,12 +74,12 @@
     return {team, key == nullptr ? "" : key};
 }
 
-std::unique_ptr<platform::client> make_client(const platform_access& access)
+std::unique_ptr<objects::client> make_client(const platform_access& access)
 {
-    platform::client_settings settings;
+    objects::client_settings settings;
     settings.endpoint = access.platform;
     settings.writer_name = writer_name();
-    return std::make_unique<platform::client>(std::move(settings));
+    return std::make_unique<objects::client>(std::move(settings));
 }
 
 int report_failure(const std::string& command, const std::string& fault)
@@ -89,11 +89,11 @@
 }
 
 int report_unavailable(const std::string& command,
-                       const platform::unavailable& result)
+                       const objects::unavailable& result)
 {
     return report_failure(command,
                           "the platform gave no result: " +
-                              std::string(platform::to_string(result.cause)));
+                              std::string(objects::to_string(result.cause)));
 }
 
 } // namespace oriolefall::programs
--- a/programs/oriolefall/platform_access.hpp
+++ b/programs/oriolefall/platform_access.hpp
@@ -1,7 +1,7 @@
 #ifndef ORIOLEFALL_PROGRAMS_PLATFORM_ACCESS_HPP
 #define ORIOLEFALL_PROGRAMS_PLATFORM_ACCESS_HPP
 
-#include "oriolefall/platform/client.hpp"
+#include "oriolefall/objects/client.hpp"
 #include "oriolefall/settings/instance_settings.hpp"
 #include "programs/oriolefall/command_line.hpp"
 
@@ -33,13 +33,13 @@
 [[nodiscard]] settings::team_key acting_as(const core::team_name& team);
 
 /// A client for one command.
-[[nodiscard]] std::unique_ptr<platform::client>
+[[nodiscard]] std::unique_ptr<objects::client>
 make_client(const platform_access& access);
 
 /// Prints one line about a call that did not work; the exit status.
 int report_failure(const std::string& command, const std::string& fault);
 int report_unavailable(const std::string& command,
-                       const platform::unavailable& result);
+                       const objects::unavailable& result);
 
 } // namespace oriolefall::programs
 
--- a/programs/oriolefall/settings_command.cpp
+++ b/programs/oriolefall/settings_command.cpp
@@ -1,4 +1,4 @@
-#include "oriolefall/platform/settings_store.hpp"
+#include "oriolefall/objects/settings_store.hpp"
 #include "programs/oriolefall/commands.hpp"
 #include "programs/oriolefall/platform_access.hpp"
 #include "programs/oriolefall/settings_file.hpp"
@@ -29,12 +29,12 @@
 int run_get(const po::variables_map& values, const platform_access& access)
 {
     const auto client = make_client(access);
-    platform::settings_store store(client->as_object_store(), {});
+    objects::settings_store store(client->as_object_store(), {});
     const auto& path = values["path"].as<std::string>();
     const auto result = store.get(path);
     if (const auto* object = std::get_if<settings::tree_object>(&result))
         return print_object(*object);
-    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+    if (const auto* failed = std::get_if<objects::unavailable>(&result))
         return report_unavailable("settings get", *failed);
     return report_failure("settings get", path + ": there is no such object");
 }
@@ -42,9 +42,9 @@
 int run_list(const po::variables_map&, const platform_access& access)
 {
     const auto client = make_client(access);
-    platform::settings_store store(client->as_object_store(), {});
+    objects::settings_store store(client->as_object_store(), {});
     const auto result = store.list();
-    if (const auto* failed = std::get_if<platform::unavailable>(&result))
+    if (const auto* failed = std::get_if<objects::unavailable>(&result))
         return report_unavailable("settings list", *failed);
     std::ranges::for_each(std::get<std::vector<settings::tree_object>>(result),
                           print_object);
@@ -89,11 +89,11 @@
     if (values.contains("expect"))
         wanted.expected_version = values["expect"].as<std::uint64_t>();
     const auto client = make_client(access);
-    platform::settings_store store(client->as_object_store(), access.team_keys);
+    objects::settings_store store(client->as_object_store(), access.team_keys);
     const auto result = store.put(wanted);
     if (const auto* refused = std::get_if<settings::change_refused>(&result))
         return report_refused(*refused, wanted, file);
-    const auto& accepted = std::get<platform::change_accepted>(result);
+    const auto& accepted = std::get<objects::change_accepted>(result);
     std::cout << nlohmann::json{{"path", wanted.path},
                                 {"version", accepted.version}}
                      .dump()
@@ -101,7 +101,7 @@
     return exit_done;
 }
 
-void print_change(const platform::object_change& change)
+void print_change(const objects::object_change& change)
 {
     const nlohmann::json value =
         change.object ? nlohmann::json::parse(change.object->value)
@@ -116,20 +116,20 @@
 int run_watch(const po::variables_map& values, const platform_access& access)
 {
     const auto client = make_client(access);
-    platform::settings_store store(client->as_object_store(), {});
+    objects::settings_store store(client->as_object_store(), {});
     auto from = values["from"].as<std::uint64_t>();
     auto left = values["changes"].as<std::uint64_t>();
     while (left > 0) {
         const auto result = store.watch(from, watch_limit);
-        if (std::holds_alternative<platform::watch_silent>(result))
+        if (std::holds_alternative<objects::watch_silent>(result))
             continue;
-        if (const auto* failed = std::get_if<platform::unavailable>(&result))
+        if (const auto* failed = std::get_if<objects::unavailable>(&result))
             return report_unavailable("settings watch", *failed);
-        if (std::holds_alternative<platform::history_gone>(result))
+        if (std::holds_alternative<objects::history_gone>(result))
             return report_failure("settings watch", "changes after revision " +
                                                         std::to_string(from) +
                                                         " are no longer known");
-        const auto& seen = std::get<platform::object_changes>(result);
+        const auto& seen = std::get<objects::object_changes>(result);
         from = seen.revision;
         const auto shown = std::min<std::size_t>(seen.changes.size(), left);
         std::for_each_n(seen.changes.begin(), shown, print_change);
--- a/tests/platform/claim_test.cpp
+++ b/tests/objects/claim_test.cpp
@@ -1,6 +1,6 @@
-#include "oriolefall/platform/claim_lane.hpp"
-#include "oriolefall/platform/claim_store.hpp"
-#include "tests/platform/platform_fixture.hpp"
+#include "oriolefall/objects/claim_lane.hpp"
+#include "oriolefall/objects/claim_store.hpp"
+#include "tests/objects/platform_fixture.hpp"
 
 #include <atomic>
 #include <thread>
@@ -38,8 +38,8 @@
         return claims.record(workspace, key, outcome);
     }
 
-    platform::client client;
-    platform::claim_store claims;
+    objects::client client;
+    objects::claim_store claims;
 };
 
 } // namespace
@@ -137,8 +137,8 @@
     std::size_t calls = 0;
     auto settings = platform.settings();
     settings.note = [&](const auto&) { ++calls; };
-    platform::client client(settings);
-    platform::claim_store claims(client.as_object_store(), "i-1");
+    objects::client client(settings);
+    objects::claim_store claims(client.as_object_store(), "i-1");
     cr_assert(claims.claim(workspace, key) == claim_outcome::granted);
     cr_assert(claims.record(workspace, key, did_run));
     cr_assert_eq(calls, 2);
@@ -170,10 +170,10 @@
 Test(claims, a_lane_answers_each_claim)
 {
     platform_fixture platform;
-    platform::client client(platform.settings());
+    objects::client client(platform.settings());
     core::bounded_ring<decision::key_claimed> answers(8);
     core::bounded_ring<bool> records(8);
-    platform::claim_lane lane(
+    objects::claim_lane lane(
         client.as_object_store(), [&] { client.stop(); }, "i-1", 8,
         [&](const auto& claimed) { answers.push(claimed); },
         [&](bool kept) { records.push(kept); });
--- a/tests/platform/move_duty_test.cpp
+++ b/tests/objects/move_duty_test.cpp
@@ -1,6 +1,6 @@
-#include "oriolefall/platform/move_duty.hpp"
-#include "oriolefall/platform/move_text.hpp"
-#include "tests/platform/platform_fixture.hpp"
+#include "oriolefall/objects/move_duty.hpp"
+#include "oriolefall/objects/move_text.hpp"
+#include "tests/objects/platform_fixture.hpp"
 
 #include <memory>
 
@@ -43,9 +43,9 @@
     }
 
 private:
-    static platform::move_duty_settings settings(const std::string& instance)
+    static objects::move_duty_settings settings(const std::string& instance)
     {
-        platform::move_duty_settings settings;
+        objects::move_duty_settings settings;
         settings.team = team;
         settings.name = name;
         settings.instance = core::instance_id(instance);
@@ -54,10 +54,10 @@
         return settings;
     }
 
-    platform::move_duty_hooks
+    objects::move_duty_hooks
     hooks(core::bounded_ring<move::move_object>& versions)
     {
-        platform::move_duty_hooks hooks;
+        objects::move_duty_hooks hooks;
         hooks.send_order = [this](const move::send_order& order) {
             duty_.tell(move::order_answered{order.server, order.model,
                                             move::order_outcome::loaded});
@@ -78,8 +78,8 @@
         duty_.tell(move::server_load_seen{core::backend_server_id("old"), 0});
     }
 
-    platform::client client_;
-    platform::move_duty duty_;
+    objects::client client_;
+    objects::move_duty duty_;
 };
 
 void create_move(platform_fixture& platform)
@@ -90,11 +90,11 @@
     object.leaving = {core::backend_server_id("old")};
     object.arriving = {
         {core::backend_server_id("new"), {core::model_name("m")}, false}};
-    platform::client client(platform.settings());
+    objects::client client(platform.settings());
     const auto result =
-        client.put(platform::move_path(team, name),
-                   platform::print_move(object), platform::if_absent{});
-    cr_assert(std::holds_alternative<platform::written>(result));
+        client.put(objects::move_path(team, name), objects::print_move(object),
+                   objects::if_absent{});
+    cr_assert(std::holds_alternative<objects::written>(result));
 }
 
 /// The first version that has ended, from whichever instance tells it.
--- a/tests/platform/move_store_test.cpp
+++ b/tests/objects/move_store_test.cpp
@@ -1,11 +1,11 @@
-#include "oriolefall/platform/move_store.hpp"
-#include "oriolefall/platform/move_text.hpp"
-#include "tests/platform/platform_fixture.hpp"
+#include "oriolefall/objects/move_store.hpp"
+#include "oriolefall/objects/move_text.hpp"
+#include "tests/objects/platform_fixture.hpp"
 
 #include <criterion/criterion.h>
 
 using namespace oriolefall;
-using platform::written;
+using objects::written;
 using tests::platform_fixture;
 
 namespace {
@@ -25,8 +25,8 @@
     {
     }
 
-    platform::client client;
-    platform::move_store moves;
+    objects::client client;
+    objects::move_store moves;
 };
 
 } // namespace
@@ -35,16 +35,16 @@
 {
     platform_fixture platform;
     session some(platform);
-    cr_assert(std::holds_alternative<platform::not_found>(
+    cr_assert(std::holds_alternative<objects::not_found>(
         some.moves.show(ops.team, name)));
     const auto created = std::get<written>(some.moves.create(ops, text));
     const auto shown =
-        std::get<platform::stored_move>(some.moves.show(ops.team, name));
+        std::get<objects::stored_move>(some.moves.show(ops.team, name));
     cr_assert_eq(shown.version, created.version);
     cr_assert(shown.object.phase == move::phase::accepted);
     cr_assert_eq(shown.object.percent, 0);
     const auto all =
-        std::get<std::vector<platform::stored_move>>(some.moves.list());
+        std::get<std::vector<objects::stored_move>>(some.moves.list());
     cr_assert(all == std::vector{shown});
 }
 
@@ -53,32 +53,32 @@
     platform_fixture platform;
     session some(platform);
     const auto created = std::get<written>(some.moves.create(ops, text));
-    const platform::conflict taken{created.version};
+    const objects::conflict taken{created.version};
     cr_assert(some.moves.create(ops, text) ==
-              platform::move_write_result(taken));
+              objects::move_write_result(taken));
     const auto faulty =
         some.moves.create(ops, R"({"name": "m", "team": "ops"})");
-    cr_assert_eq(std::get<platform::invalid_move>(faulty).faults.size(), 1);
+    cr_assert_eq(std::get<objects::invalid_move>(faulty).faults.size(), 1);
 }
 
 Test(move_store, sets_wishes_until_the_move_has_ended)
 {
     platform_fixture platform;
     session some(platform);
-    cr_assert(std::holds_alternative<platform::not_found>(
+    cr_assert(std::holds_alternative<objects::not_found>(
         some.moves.set_wish(ops, name, move::wish::pause)));
     cr_assert(std::holds_alternative<written>(some.moves.create(ops, text)));
     cr_assert(std::holds_alternative<written>(
         some.moves.set_wish(ops, name, move::wish::pause)));
     auto shown =
-        std::get<platform::stored_move>(some.moves.show(ops.team, name));
+        std::get<objects::stored_move>(some.moves.show(ops.team, name));
     cr_assert(shown.object.wish == move::wish::pause);
     shown.object.phase = move::phase::done;
-    const auto ended = some.client.put(platform::move_path(ops.team, name),
-                                       platform::print_move(shown.object),
-                                       platform::if_version{shown.version});
+    const auto ended = some.client.put(objects::move_path(ops.team, name),
+                                       objects::print_move(shown.object),
+                                       objects::if_version{shown.version});
     cr_assert(std::holds_alternative<written>(ended));
-    cr_assert(std::holds_alternative<platform::move_ended>(
+    cr_assert(std::holds_alternative<objects::move_ended>(
         some.moves.set_wish(ops, name, move::wish::abort)));
 }
 
@@ -87,9 +87,9 @@
     platform_fixture platform;
     session some(platform);
     platform.set_faults(R"({"outage":true})");
-    cr_assert(std::holds_alternative<platform::unavailable>(
+    cr_assert(std::holds_alternative<objects::unavailable>(
         some.moves.create(ops, text)));
-    cr_assert(std::holds_alternative<platform::unavailable>(
+    cr_assert(std::holds_alternative<objects::unavailable>(
         some.moves.set_wish(ops, name, move::wish::abort)));
 }
 
@@ -98,7 +98,7 @@
     platform_fixture platform;
     session some(platform);
     const auto refused_for = [](settings::change_refusal reason) {
-        return platform::move_write_result(platform::team_refused{reason});
+        return objects::move_write_result(objects::team_refused{reason});
     };
     using settings::change_refusal;
     cr_assert(some.moves.create(club, text) ==
@@ -109,6 +109,6 @@
     cr_assert(std::holds_alternative<written>(some.moves.create(ops, text)));
     cr_assert(some.moves.set_wish(wrong, name, move::wish::abort) ==
               refused_for(change_refusal::wrong_key));
-    cr_assert(std::holds_alternative<platform::not_found>(
+    cr_assert(std::holds_alternative<objects::not_found>(
         some.moves.set_wish(club, name, move::wish::abort)));
 }
--- a/tests/platform/move_text_test.cpp
+++ b/tests/objects/move_text_test.cpp
@@ -1,4 +1,4 @@
-#include "oriolefall/platform/move_text.hpp"
+#include "oriolefall/objects/move_text.hpp"
 #include "oriolefall/settings/reference.hpp"
 
 #include <cstdlib>
@@ -56,7 +56,7 @@
 
 errors faults_of(const char* text)
 {
-    const auto parsed = platform::parse_move(text);
+    const auto parsed = objects::parse_move(text);
     const auto* faults = std::get_if<errors>(&parsed);
     return faults == nullptr ? errors() : *faults;
 }
@@ -67,7 +67,7 @@
 {
     const bool held = rc::check("print and parse", [] {
         const move::move_object object = any_move();
-        const auto parsed = platform::parse_move(platform::print_move(object));
+        const auto parsed = objects::parse_move(objects::print_move(object));
         RC_ASSERT(std::holds_alternative<move::move_object>(parsed));
         RC_ASSERT(std::get<move::move_object>(parsed) == object);
     });
@@ -76,7 +76,7 @@
 
 Test(move_text, of_an_operator_may_leave_out_what_instances_write)
 {
-    const auto parsed = platform::parse_move(R"({
+    const auto parsed = objects::parse_move(R"({
         // Three old servers make room for one.
         "name": "weekend", "team": "t", "leaving": ["a", "b", "c"],
         "arriving": [{"id": "d", "models": ["m"]}]})");
@@ -104,9 +104,9 @@
 Test(move_text, leases_are_read_as_they_were_printed)
 {
     const move::lease lease{core::instance_id("i-1"), 7};
-    cr_assert(platform::parse_lease(platform::print_lease(lease)) == lease);
-    cr_assert_not(platform::parse_lease("{}").has_value());
-    cr_assert_not(platform::parse_lease("x").has_value());
+    cr_assert(objects::parse_lease(objects::print_lease(lease)) == lease);
+    cr_assert_not(objects::parse_lease("{}").has_value());
+    cr_assert_not(objects::parse_lease("x").has_value());
 }
 
 Test(move_text, reference_page_holds_what_the_parser_takes)
@@ -117,7 +117,7 @@
     std::stringstream page;
     page << file.rdbuf();
     const std::string table =
-        settings::print_reference(platform::describe_move());
+        settings::print_reference(objects::describe_move());
     cr_assert_neq(page.str().find("\n\n" + table), std::string::npos,
                   "docs/SETTINGS.md does not hold:\n%s", table.c_str());
 }
--- a/tests/platform/platform_fixture.hpp
+++ b/tests/objects/platform_fixture.hpp
@@ -2,7 +2,7 @@
 #define ORIOLEFALL_TESTS_PLATFORM_PLATFORM_FIXTURE_HPP
 
 #include "oriolefall/core/concat.hpp"
-#include "oriolefall/platform/client.hpp"
+#include "oriolefall/objects/client.hpp"
 #include "stand_ins/platform_server.hpp"
 
 #include <httplib.h>
@@ -23,9 +23,9 @@
     {
     }
 
-    [[nodiscard]] platform::client_settings settings()
+    [[nodiscard]] objects::client_settings settings()
     {
-        platform::client_settings settings;
+        objects::client_settings settings;
         settings.endpoint = {"127.0.0.1", server_.port()};
         settings.writer_name =
             core::concat("writer", clients_.fetch_add(1) + 1);
--- a/tests/platform/policy_test.cpp
+++ b/tests/objects/policy_test.cpp
@@ -1,11 +1,11 @@
-#include "oriolefall/platform/backoff.hpp"
-#include "oriolefall/platform/call_budget.hpp"
+#include "oriolefall/objects/backoff.hpp"
+#include "oriolefall/objects/call_budget.hpp"
 
 #include <rapidcheck.h>
 
 #include <criterion/criterion.h>
 
-using namespace oriolefall::platform;
+using namespace oriolefall::objects;
 
 Test(backoff, doubles_up_to_its_limit)
 {
--- a/tests/platform/reader_test.cpp
+++ b/tests/objects/reader_test.cpp
@@ -1,7 +1,7 @@
 #include "oriolefall/core/bounded_ring.hpp"
-#include "oriolefall/platform/reader.hpp"
-#include "oriolefall/platform/writer.hpp"
-#include "tests/platform/platform_fixture.hpp"
+#include "oriolefall/objects/reader.hpp"
+#include "oriolefall/objects/writer.hpp"
+#include "tests/objects/platform_fixture.hpp"
 
 #include <future>
 #include <map>
@@ -21,9 +21,7 @@
         : news_(64), client_(quick(platform)),
           reader_(
               settings(), client_.as_object_store(), [this] { client_.stop(); },
-              [this](platform::store_news news) {
-                  news_.push(std::move(news));
-              })
+              [this](objects::store_news news) { news_.push(std::move(news)); })
     {
     }
     follower(const follower&) = delete;
@@ -47,16 +45,16 @@
     }
 
 private:
-    static platform::client_settings quick(platform_fixture& platform)
+    static objects::client_settings quick(platform_fixture& platform)
     {
         auto settings = platform.settings();
         settings.watch_grace = absl::Milliseconds(50);
         return settings;
     }
 
-    static platform::reader_settings settings()
+    static objects::reader_settings settings()
     {
-        platform::reader_settings settings;
+        objects::reader_settings settings;
         settings.watch_limit = absl::Milliseconds(100);
         settings.backoff = {absl::Milliseconds(1), absl::Milliseconds(10)};
         return settings;
@@ -69,26 +67,26 @@
         std::visit([this](const auto& some) { keep(some); }, *news);
     }
 
-    void keep(const platform::object_list& list)
+    void keep(const objects::object_list& list)
     {
         for (const auto& object : list.objects)
             values_[object.path] = object.value;
     }
 
-    void keep(const platform::object_changes& changes)
+    void keep(const objects::object_changes& changes)
     {
         for (const auto& change : changes.changes)
             values_[change.path] = change.object ? change.object->value : "";
     }
 
-    void keep(const platform::store_unreachable&)
+    void keep(const objects::store_unreachable&)
     {
         unreachable_ = true;
     }
 
-    core::bounded_ring<platform::store_news> news_;
-    platform::client client_;
-    platform::reader reader_;
+    core::bounded_ring<objects::store_news> news_;
+    objects::client client_;
+    objects::reader reader_;
     std::map<std::string, std::string> values_;
     bool unreachable_ = false;
 };
@@ -96,9 +94,9 @@
 void put(platform_fixture& platform, const std::string& path,
          const std::string& value)
 {
-    platform::client client(platform.settings());
-    cr_assert(std::holds_alternative<platform::written>(
-        client.put(path, value, platform::always{})));
+    objects::client client(platform.settings());
+    cr_assert(std::holds_alternative<objects::written>(
+        client.put(path, value, objects::always{})));
 }
 
 } // namespace
@@ -162,19 +160,19 @@
 Test(platform_writer, carries_out_orders_in_order_and_tells_results)
 {
     platform_fixture platform;
-    platform::client client(platform.settings());
-    platform::writer writer(
+    objects::client client(platform.settings());
+    objects::writer writer(
         client.as_object_store(), [&] { client.stop(); }, 8);
-    std::promise<platform::write_result> first;
-    std::promise<platform::write_result> second;
-    cr_assert(writer.submit(platform::put_order{
-        "/teams/a", "{}", platform::if_absent{},
+    std::promise<objects::write_result> first;
+    std::promise<objects::write_result> second;
+    cr_assert(writer.submit(objects::put_order{
+        "/teams/a", "{}", objects::if_absent{},
         [&](const auto& result) { first.set_value(result); }}));
-    cr_assert(writer.submit(platform::put_order{
-        "/teams/a", "{}", platform::if_absent{},
+    cr_assert(writer.submit(objects::put_order{
+        "/teams/a", "{}", objects::if_absent{},
         [&](const auto& result) { second.set_value(result); }}));
     cr_assert(
-        std::holds_alternative<platform::written>(first.get_future().get()));
+        std::holds_alternative<objects::written>(first.get_future().get()));
     cr_assert(
-        std::holds_alternative<platform::conflict>(second.get_future().get()));
+        std::holds_alternative<objects::conflict>(second.get_future().get()));
 }
--- a/tests/platform/settings_duty_test.cpp
+++ b/tests/objects/settings_duty_test.cpp
@@ -1,7 +1,7 @@
-#include "oriolefall/platform/move_store.hpp"
-#include "oriolefall/platform/settings_duty.hpp"
-#include "oriolefall/platform/settings_store.hpp"
-#include "tests/platform/platform_fixture.hpp"
+#include "oriolefall/objects/move_store.hpp"
+#include "oriolefall/objects/settings_duty.hpp"
+#include "oriolefall/objects/settings_store.hpp"
+#include "tests/objects/platform_fixture.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -33,20 +33,20 @@
     {
     }
 
-    platform::settings_duty_hooks hooks()
+    objects::settings_duty_hooks hooks()
     {
-        platform::settings_duty_hooks hooks;
-        hooks.publish = [this](const platform::settings_in_force& some) {
+        objects::settings_duty_hooks hooks;
+        hooks.publish = [this](const objects::settings_in_force& some) {
             published.push(some);
         };
         hooks.offer = [this](const auto& teams) { offers.push(teams); };
         hooks.fetch = [this](const core::instance_id& peer, const auto& teams) {
-            fetches.push(platform::peer_fetch{peer, teams});
+            fetches.push(objects::peer_fetch{peer, teams});
         };
         hooks.answer = [this](const core::instance_id&,
                               const settings::team_version&,
                               const auto& objects) {
-            answers.push(platform::peer_objects{objects});
+            answers.push(objects::peer_objects{objects});
         };
         return hooks;
     }
@@ -65,11 +65,11 @@
         }
     }
 
-    core::bounded_ring<platform::settings_in_force> published;
+    core::bounded_ring<objects::settings_in_force> published;
     core::bounded_ring<std::vector<settings::team_version>> offers;
-    core::bounded_ring<platform::peer_fetch> fetches;
-    core::bounded_ring<platform::peer_objects> answers;
-    platform::settings_duty duty;
+    core::bounded_ring<objects::peer_fetch> fetches;
+    core::bounded_ring<objects::peer_objects> answers;
+    objects::settings_duty duty;
 };
 
 /// Feeds a follower from a platform.
@@ -79,47 +79,47 @@
         : client(quick(platform)),
           reader(
               settings(), client.as_object_store(), [this] { client.stop(); },
-              [&to](platform::store_news news) {
+              [&to](objects::store_news news) {
                   to.duty.try_tell(std::move(news));
               })
     {
     }
 
-    static platform::client_settings quick(platform_fixture& platform)
+    static objects::client_settings quick(platform_fixture& platform)
     {
         auto settings = platform.settings();
         settings.watch_grace = absl::Milliseconds(50);
         return settings;
     }
 
-    static platform::reader_settings settings()
+    static objects::reader_settings settings()
     {
-        platform::reader_settings settings;
+        objects::reader_settings settings;
         settings.watch_limit = absl::Milliseconds(100);
         return settings;
     }
 
-    platform::client client;
-    platform::reader reader;
+    objects::client client;
+    objects::reader reader;
 };
 
 void put_deployment(platform_fixture& platform)
 {
-    platform::client client(platform.settings());
-    platform::settings_store tree(client.as_object_store(), {ops});
+    objects::client client(platform.settings());
+    objects::settings_store tree(client.as_object_store(), {ops});
     const auto result = tree.put(
         {ops.team, ops.key, "/teams/ops/main", deployment, std::nullopt});
-    cr_assert(std::holds_alternative<platform::change_accepted>(result));
+    cr_assert(std::holds_alternative<objects::change_accepted>(result));
 }
 
 void create_move(platform_fixture& platform)
 {
-    platform::client client(platform.settings());
-    platform::move_store moves(client.as_object_store(), {ops});
+    objects::client client(platform.settings());
+    objects::move_store moves(client.as_object_store(), {ops});
     const auto result = moves.create(
         ops, R"({"name": "weekend", "team": "ops", "leaving": ["old"],
                  "arriving": [{"id": "new", "models": ["m"]}]})");
-    cr_assert(std::holds_alternative<platform::written>(result));
+    cr_assert(std::holds_alternative<objects::written>(result));
 }
 
 } // namespace
@@ -170,10 +170,10 @@
     follower second;
     const core::instance_id peer("first");
     const auto offered = first.offers.pop();
-    second.duty.tell(platform::peer_offer{peer, *offered});
+    second.duty.tell(objects::peer_offer{peer, *offered});
     const auto wanted = second.fetches.pop();
     first.duty.tell(
-        platform::peer_fetch{core::instance_id("second"), wanted->teams});
+        objects::peer_fetch{core::instance_id("second"), wanted->teams});
     second.duty.tell(*first.answers.pop());
     second.wait_for_leaving("old");
 }
@@ -184,10 +184,10 @@
     const settings::tree_object newer{"/teams/ops/main", 5, deployment};
     const settings::tree_object older{"/teams/ops/main", 4, "{}"};
     const settings::tree_object other{"/teams/ops/other", 1, "{}"};
-    some.duty.tell(platform::peer_objects{{newer}});
+    some.duty.tell(objects::peer_objects{{newer}});
     cr_assert_eq(some.published.pop()->table->servers.size(), 2);
-    some.duty.tell(platform::peer_objects{{older}});
-    some.duty.tell(platform::peer_objects{{older, other}});
+    some.duty.tell(objects::peer_objects{{older}});
+    some.duty.tell(objects::peer_objects{{older, other}});
     const auto in_force = some.published.pop();
     cr_assert_eq(in_force->table->servers.size(), 2);
     cr_assert_eq(in_force->table->version, 2);
--- a/tests/platform/settings_store_test.cpp
+++ b/tests/objects/settings_store_test.cpp
@@ -1,5 +1,5 @@
-#include "oriolefall/platform/settings_store.hpp"
-#include "tests/platform/platform_fixture.hpp"
+#include "oriolefall/objects/settings_store.hpp"
+#include "tests/objects/platform_fixture.hpp"
 
 #include <atomic>
 #include <thread>
@@ -7,7 +7,7 @@
 #include <criterion/criterion.h>
 
 using namespace oriolefall;
-using platform::change_accepted;
+using objects::change_accepted;
 using settings::change_refusal;
 using settings::change_refused;
 using tests::platform_fixture;
@@ -26,15 +26,14 @@
     {
     }
 
-    platform::change_result put(const std::string& team,
-                                const std::string& text)
+    objects::change_result put(const std::string& team, const std::string& text)
     {
         return tree.put({core::team_name(team), "key-of-team-" + team + "-01",
                          "/teams/" + team + "/main", text, std::nullopt});
     }
 
-    platform::client client;
-    platform::settings_store tree;
+    objects::client client;
+    objects::settings_store tree;
 };
 
 std::string workspace(const std::string& name)
@@ -42,7 +41,7 @@
     return R"({"workspaces":[{"name":")" + name + "\"}]}";
 }
 
-change_refusal refusal_of(const platform::change_result& result)
+change_refusal refusal_of(const objects::change_result& result)
 {
     const auto* refused = std::get_if<change_refused>(&result);
     cr_assert_not_null(refused);
@@ -64,7 +63,7 @@
     const auto all =
         std::get<std::vector<settings::tree_object>>(session.tree.list());
     cr_assert(all == std::vector{object});
-    cr_assert(std::holds_alternative<platform::not_found>(
+    cr_assert(std::holds_alternative<objects::not_found>(
         session.tree.get("/claims/x/y")));
 }
 
@@ -93,7 +92,7 @@
         session.tree.put({core::team_name("a"), "key-of-team-a-01",
                           "/teams/a/main", "{}", first.version});
     const change_refused expected{change_refusal::conflict, {}, second.version};
-    cr_assert(result == platform::change_result(expected));
+    cr_assert(result == objects::change_result(expected));
 }
 
 Test(settings_store, a_lost_answer_is_told_as_accepted)
@@ -165,11 +164,11 @@
 
 Test(settings_store, waits_until_no_instance_lags)
 {
-    platform::stop_signal stop;
-    platform::in_force_settings quick;
+    objects::stop_signal stop;
+    objects::in_force_settings quick;
     quick.backoff = {absl::Milliseconds(1), absl::Milliseconds(2)};
     int asked = 0;
-    const auto result = platform::wait_in_force(
+    const auto result = objects::wait_in_force(
         {"/teams/a/main", 7},
         [&](const settings::path_version& wanted) {
             cr_assert_eq(wanted.version, 7);
@@ -179,20 +178,20 @@
             return lagging;
         },
         quick, stop);
-    cr_assert(std::holds_alternative<platform::in_force_everywhere>(result));
+    cr_assert(std::holds_alternative<objects::in_force_everywhere>(result));
     cr_assert_eq(asked, 4);
 }
 
 Test(settings_store, names_the_instances_that_lag_at_the_limit)
 {
-    platform::stop_signal stop;
-    platform::in_force_settings quick;
+    objects::stop_signal stop;
+    objects::in_force_settings quick;
     quick.backoff = {absl::Milliseconds(1), absl::Milliseconds(2)};
     quick.limit = absl::Milliseconds(10);
     std::vector<core::instance_id> lagging{core::instance_id("i-1")};
-    const auto result = platform::wait_in_force(
+    const auto result = objects::wait_in_force(
         {"/teams/a/main", 7}, [&](const auto&) { return lagging; }, quick,
         stop);
     cr_assert(result ==
-              platform::in_force_result(platform::not_yet_in_force{lagging}));
+              objects::in_force_result(objects::not_yet_in_force{lagging}));
 }
