Share load over peer links; divide engines among lanes by goal; keep prompts at home

Cause: under bursts the most urgent kind waited 1 to 1.7 s for its first event behind long prompts, at every engine; each instance saw only its own calls. Change: instances tell each other calls and backlog every 150 ms; engines are divided among requests by goal; a shared prompt leaves its home engine only for a gain that outweighs reading it again six times over.

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -83,6 +83,13 @@
     std::strong_ordering operator<=>(const refuse&) const = default;
 };
 
+/// The other instances are to hear of this one's load.
+struct tell_load
+{
+    load_report report;
+    auto operator<=>(const tell_load&) const = default;
+};
+
 /// One decision for the log.
 struct decision_note
 {
@@ -96,7 +103,7 @@
 };
 
 using action =
-    std::variant<send_call, cancel_call, pass_failure, refuse, decision_note>;
+    std::variant<send_call, cancel_call, pass_failure, refuse, tell_load, decision_note>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/dispatch/placement.hpp"
 #include "oriolefall/dispatch/repeat_budget.hpp"
 #include "oriolefall/dispatch/server_state.hpp"
+#include "oriolefall/dispatch/service_pool.hpp"
 
 #include <absl/time/time.h>
 
@@ -21,6 +22,9 @@
     core::region_name here;
     repeat_budget_settings repeats;
     ejection_settings ejection;
+    pool_settings pool;
+    /// Between two reports of load to the other instances.
+    absl::Duration report_interval = absl::Milliseconds(150);
     /// Instances that share budgets at least, before others are heard of.
     std::uint32_t least_instances = 1;
     /// When a caller is to come back after a refusal that did not run.
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -10,6 +10,8 @@
 
 /// From this status on an answer tells a fault of the server.
 constexpr int first_server_error = 500;
+/// Share of an engine's memory in which prompts are taken to stay.
+constexpr double kept_share = 0.75;
 
 } // namespace
 
@@ -26,13 +28,16 @@
     assert(now >= now_);
     now_ = now;
     out_ = &out;
+    others_.refresh(now);
     std::visit([this](const auto& value) { on(value); }, event);
+    report_load();
     out_ = nullptr;
 }
 
 absl::Time dispatcher::next_tick() const
 {
-    return ends_.empty() ? absl::InfiniteFuture() : ends_.begin()->first;
+    return ends_.empty() ? report_at_
+                         : std::min(report_at_, ends_.begin()->first);
 }
 
 std::size_t dispatcher::open_requests() const
@@ -60,6 +65,9 @@
         event.received + std::min(route.time_limit + settings_.limit_grace,
                                   event.patience + settings_.limit_grace);
     budget_of(request.service).note_request(now_);
+    const auto* service = table_->find_service(request.service);
+    request.is_engine = service != nullptr && service->engine.has_value();
+    request.lane = lane_key(request.service, route.goal);
     const auto [place_in_map, is_new] =
         requests_.emplace(event.id.value(), std::move(request));
     assert(is_new);
@@ -148,9 +156,14 @@
     if (server != nullptr && !request->call->is_read) {
         server->note_read(request->call->tokens_to_read);
         request->call->is_read = true;
+        if (request->is_engine)
+            server->note_first_event(
+                request->call->expected_ms,
+                absl::ToDoubleMilliseconds(now_ - request->call->sent_at));
         if (event.status < first_server_error)
             server->note_success(now_);
     }
+    request->call->answered_at = now_;
     request->answer_begun = true;
 }
 
@@ -177,7 +190,7 @@
     open_request* request = find(event.id, event.call);
     if (request == nullptr)
         return;
-    note(*request, "answered", false);
+    note_answer(*request, event);
     close_call(*request);
     forget(event.id);
 }
@@ -189,12 +202,7 @@
                               event.table->settings()))
         return;
     table_ = event.table;
-    std::ranges::for_each(servers_, [this](auto& each) {
-        server_state& server = *each.second;
-        const auto* service = table_->find_service(server.entry().service);
-        if (service != nullptr && service->engine)
-            server.cache().set_capacity(service->engine->memory_tokens * 3 / 4);
-    });
+    set_cache_sizes();
 }
 
 void dispatcher::on(const servers_changed& event)
@@ -204,30 +212,51 @@
     for (const server_entry& entry : *event.servers) {
         auto held = servers_.find(entry.id);
         if (held == servers_.end()) {
-            next.emplace(entry.id, std::make_unique<server_state>(
-                                       entry, settings_.ejection));
+            auto made =
+                std::make_unique<server_state>(entry, settings_.ejection);
+            made->assume_slowness(pool_of(entry.service).mean_slowness());
+            next.emplace(entry.id, std::move(made));
             continue;
         }
         held->second->replace(entry);
         next.emplace(entry.id, std::move(held->second));
     }
     servers_ = std::move(next);
-    by_service_.clear();
+    std::map<routing::service_name, std::vector<server_state*>> by_service;
+    for (auto& [name, pool] : pools_)
+        by_service[name] = {};
     for (auto& [id, server] : servers_) {
         server->doubtful =
             std::ranges::find(event.doubtful, id) != event.doubtful.end();
-        by_service_[server->entry().service].push_back(server.get());
-        const auto* service =
-            table_ ? table_->find_service(server->entry().service) : nullptr;
+        by_service[server->entry().service].push_back(server.get());
+    }
+    for (auto& [name, servers] : by_service)
+        pool_of(name).set_servers(std::move(servers));
+    set_cache_sizes();
+}
+
+void dispatcher::set_cache_sizes()
+{
+    if (!table_)
+        return;
+    for (auto& [id, server] : servers_) {
+        const auto* service = table_->find_service(server->entry().service);
         if (service != nullptr && service->engine)
-            server->cache().set_capacity(service->engine->memory_tokens * 3 /
-                                         4);
+            server->cache().set_capacity(static_cast<std::uint64_t>(
+                kept_share *
+                static_cast<double>(service->engine->memory_tokens)));
     }
 }
 
 void dispatcher::on(const fleet_changed& event)
 {
-    instances_ = std::max(event.instances, settings_.least_instances);
+    instances_ = std::max(event.sharing, settings_.least_instances);
+    others_.set_instances(event.live);
+}
+
+void dispatcher::on(const load_heard& event)
+{
+    others_.hear(now_, event.from, event.report);
 }
 
 void dispatcher::on(const tick&)
@@ -262,6 +291,7 @@
             server->note_read(request.call->tokens_to_read);
         server->note_ended();
     }
+    pool_of(request.service).lane(request.lane, request.route->goal).note_ended();
     request.call.reset();
 }
 
@@ -305,6 +335,32 @@
         server->note_load(now_, *load);
 }
 
+service_pool& dispatcher::pool_of(const routing::service_name& name)
+{
+    return pools_.try_emplace(name, settings_.pool).first->second;
+}
+
+void dispatcher::report_load()
+{
+    if (requests_.empty() && now_ < report_at_)
+        return;
+    if (report_at_ == absl::InfiniteFuture())
+        report_at_ = now_ + settings_.report_interval;
+    if (now_ < report_at_)
+        return;
+    load_report report;
+    for (const auto& [id, server] : servers_)
+        if (server->own_calls() > 0)
+            report.servers.push_back(
+                {id, server->own_calls(),
+                 static_cast<std::uint32_t>(server->own_backlog_tokens())});
+    for (const auto& [name, pool] : pools_)
+        pool.report_lanes(now_, report.lanes);
+    report_at_ = requests_.empty() ? absl::InfiniteFuture()
+                                   : now_ + settings_.report_interval;
+    out_->push_back(tell_load{std::move(report)});
+}
+
 repeat_budget& dispatcher::budget_of(const routing::service_name& name)
 {
     return budgets_.try_emplace(name, settings_.repeats).first->second;
@@ -321,6 +377,25 @@
     return base * (1 + part / 2);
 }
 
+void dispatcher::note_answer(const open_request& request,
+                             const call_done& event)
+{
+    const auto ms = [](absl::Duration time) {
+        return std::to_string(absl::ToInt64Milliseconds(time));
+    };
+    const auto& call = *request.call;
+    out_->push_back(decision_note{
+        request.facts.id, request.facts.caller_id, "answered",
+        "server=" + call.server.value() +
+            " priority=" + std::to_string(request.route->priority) +
+            " tokens=" + std::to_string(total_tokens(request.facts.prompt)) +
+            " to_read=" + std::to_string(call.tokens_to_read) + " first_ms=" +
+            ms(call.answered_at - request.facts.received) +
+            " gap_ms=" + ms(event.longest_gap) +
+            " events=" + std::to_string(event.events),
+        false});
+}
+
 void dispatcher::note(const open_request& request, std::string outcome,
                       bool is_failure)
 {
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -38,7 +38,10 @@
         absl::Time sent_at;
         /// Prompt tokens that the server still has to read for it.
         std::uint32_t tokens_to_read = 0;
+        /// To the first event, in ms.
+        double expected_ms = 0;
         bool is_read = false;
+        absl::Time answered_at = absl::InfinitePast();
     };
 
     struct open_request
@@ -49,6 +52,9 @@
         const routing::route* route = nullptr;
         const routing::workspace* workspace = nullptr;
         routing::service_name service;
+        /// The service's servers are model engines.
+        bool is_engine = false;
+        std::uint64_t lane = 0;
         /// Servers that it was sent to, each once.
         std::vector<core::backend_server_id> tried;
         /// Servers that could not be reached for it.
@@ -74,6 +80,7 @@
     void on(const routes_changed& event);
     void on(const servers_changed& event);
     void on(const fleet_changed& event);
+    void on(const load_heard& event);
     void on(const tick& event);
 
     [[nodiscard]] std::optional<refusal> refuse_at_once(open_request& request);
@@ -83,10 +90,16 @@
     /// Sends it once more when all bounds allow; false when not.
     [[nodiscard]] bool place_again(open_request& request);
     [[nodiscard]] bool may_repeat(const open_request& request) const;
-    [[nodiscard]] server_state* choose_server(const open_request& request);
+    [[nodiscard]] std::optional<server_view>
+    choose_server(const open_request& request);
     [[nodiscard]] bool is_candidate(const open_request& request,
                                     const server_state& server) const;
-    void send(open_request& request, server_state& server);
+    [[nodiscard]] static bool is_usable(const open_request& request,
+                                        const server_state& server);
+    void send(open_request& request, const server_view& view);
+    [[nodiscard]] service_pool& pool_of(const routing::service_name& name);
+    void report_load();
+    void set_cache_sizes();
     void end(open_request& request, refusal cause);
     void close_call(open_request& request);
     void forget(core::request_id id);
@@ -98,6 +111,7 @@
     [[nodiscard]] repeat_budget& budget_of(const routing::service_name& name);
     [[nodiscard]] std::uint32_t connection_share(const open_request&) const;
     [[nodiscard]] absl::Duration come_back(refusal cause);
+    void note_answer(const open_request& request, const call_done& event);
     void note(const open_request& request, std::string outcome,
               bool is_failure);
 
@@ -106,11 +120,14 @@
     std::shared_ptr<const routing::route_table> table_;
     bool servers_known_ = false;
     server_map servers_;
-    std::map<routing::service_name, std::vector<server_state*>> by_service_;
+    std::map<routing::service_name, service_pool> pools_;
+    fleet_load others_;
     std::map<routing::service_name, repeat_budget> budgets_;
     request_map requests_;
     std::set<std::pair<absl::Time, std::uint64_t>> ends_;
+    /// That share budgets and connection limits.
     std::uint32_t instances_ = 1;
+    absl::Time report_at_ = absl::InfiniteFuture();
     std::uint64_t next_call_ = 1;
     absl::Time now_ = absl::InfinitePast();
     std::vector<action>* out_ = nullptr;
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -1,5 +1,4 @@
 #include "oriolefall/dispatch/dispatcher.hpp"
-#include "oriolefall/membership/rendezvous.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -45,8 +44,8 @@
 
 void dispatcher::place(open_request& request, refusal without_server)
 {
-    server_state* server = choose_server(request);
-    if (server == nullptr)
+    const auto server = choose_server(request);
+    if (!server)
         end(request, without_server);
     else
         send(request, *server);
@@ -65,8 +64,8 @@
         return false;
     if (request.ends_at - now_ < settings_.least_time_for_repeat)
         return false;
-    server_state* server = choose_server(request);
-    if (server == nullptr || !budget_of(request.service).take(now_, instances_))
+    const auto server = choose_server(request);
+    if (!server || !budget_of(request.service).take(now_, instances_))
         return false;
     send(request, *server);
     return true;
@@ -74,67 +73,63 @@
 
 bool dispatcher::is_candidate(const open_request& request,
                               const server_state& server) const
+{
+    const bool is_left_out =
+        server.is_on_probation() &&
+        (server.is_ejected(now_) || server.own_calls() > 0);
+    return is_usable(request, server) && !is_left_out;
+}
+
+bool dispatcher::is_usable(const open_request& request,
+                           const server_state& server)
 {
     const auto& entry = server.entry();
-    if (entry.leaving || contains(request.tried, entry.id) ||
-        contains(request.unreachable, entry.id))
-        return false;
-    if (server.is_on_probation() &&
-        (server.is_ejected(now_) || server.own_calls() > 0))
-        return false;
-    return true;
+    return !entry.leaving && !contains(request.tried, entry.id) &&
+           !contains(request.unreachable, entry.id);
 }
 
-server_state* dispatcher::choose_server(const open_request& request)
+std::optional<server_view>
+dispatcher::choose_server(const open_request& request)
 {
-    const auto found = by_service_.find(request.service);
-    if (found == by_service_.end())
-        return nullptr;
-    const auto* service = request.table->find_service(request.service);
+    service_pool& pool = pool_of(request.service);
     placement_facts facts;
     facts.prompt = request.facts.prompt;
-    facts.is_engine = service != nullptr && service->engine.has_value();
+    facts.is_engine = request.is_engine;
     facts.body_bytes = request.facts.body_bytes;
     facts.here = settings_.here;
     facts.now = now_;
+    if (request.is_engine)
+        pool.plan(now_, others_);
+    const auto views = pool.views(request.lane, facts.prompt, others_);
 
-    const std::string key = std::to_string(home_key(facts.prompt));
-    const server_state* home = nullptr;
-    std::uint64_t home_weight = 0;
-    for (const server_state* each : found->second) {
-        const auto weight =
-            membership::rendezvous_weight(key, each->entry().id.value());
-        if (each->entry().leaving || (home != nullptr && weight < home_weight))
-            continue;
-        home = each;
-        home_weight = weight;
-    }
-
-    server_state* best = nullptr;
+    const server_view* best = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
-    const auto consider = [&](bool doubtful, bool ejected) {
-        for (server_state* each : found->second) {
-            const bool fits =
-                ejected ? !each->entry().leaving &&
-                              !contains(request.tried, each->entry().id) &&
-                              !contains(request.unreachable, each->entry().id)
-                        : is_candidate(request, *each);
-            if (!fits || each->doubtful != doubtful)
+    const auto consider = [&](auto fits) {
+        for (const server_view& view : views) {
+            if (!fits(view.server))
                 continue;
-            const double cost = hooks_.cost(facts, *each, each == home);
+            const double cost = hooks_.cost(facts, view);
             if (cost < best_cost) {
-                best = each;
+                best = &view;
                 best_cost = cost;
             }
         }
     };
-    consider(false, false);
+    consider([&](const server_state& server) {
+        return !server.doubtful && is_candidate(request, server);
+    });
     if (best == nullptr)
-        consider(true, false);
+        consider([&](const server_state& server) {
+            return is_candidate(request, server);
+        });
     // With none left, one that failed lately is better than a refusal.
     if (best == nullptr)
-        consider(false, true);
-    return best;
+        consider([&](const server_state& server) {
+            return is_usable(request, server);
+        });
+    if (best == nullptr)
+        return std::nullopt;
+    return *best;
 }
 
 std::uint32_t dispatcher::connection_share(const open_request& request) const
@@ -145,20 +140,26 @@
     return std::max(service->connection_limit / std::max(instances_, 1U), 2U);
 }
 
-void dispatcher::send(open_request& request, server_state& server)
+void dispatcher::send(open_request& request, const server_view& view)
 {
     const auto& route = *request.route;
-    const auto* service = request.table->find_service(request.service);
-    const bool is_engine = service != nullptr && service->engine.has_value();
+    server_state& server = *servers_.at(view.server.entry().id);
 
     open_call call;
     call.id = core::call_id(next_call_++);
     call.server = server.entry().id;
     call.sent_at = now_;
-    call.tokens_to_read = tokens_to_read(request.facts.prompt, server);
+    call.tokens_to_read = expected_to_read(settings_.pool.placement,
+                                           request.facts.prompt, view);
+    call.expected_ms = expected_first_event(settings_.pool.placement, view,
+                                            call.tokens_to_read);
     server.note_sent(call.tokens_to_read);
-    if (is_engine)
+    if (request.is_engine)
         server.cache().note_read(request.facts.prompt);
+    lane_meter& lane = pool_of(request.service).lane(request.lane, route.goal);
+    if (request.tried.empty())
+        lane.note_arrival(now_, call.tokens_to_read);
+    lane.note_sent();
     request.tried.push_back(call.server);
 
     send_call order;
@@ -169,7 +170,7 @@
     order.connection_limit = connection_share(request);
     if (request.workspace != nullptr)
         order.workspace = request.workspace->name;
-    if (is_engine) {
+    if (request.is_engine) {
         const auto own = request.workspace != nullptr
                              ? request.workspace->priority
                              : std::nullopt;
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_DISPATCH_EVENT_HPP
 
 #include "oriolefall/core/ids.hpp"
+#include "oriolefall/dispatch/load_report.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
 #include "oriolefall/routing/route_table.hpp"
 
@@ -121,7 +122,9 @@
     core::request_id id;
     core::call_id call;
     std::uint32_t events = 0;
-    auto operator<=>(const call_done&) const = default;
+    /// Longest pause between two events of the answer.
+    absl::Duration longest_gap = absl::ZeroDuration();
+    std::strong_ordering operator<=>(const call_done&) const = default;
 };
 
 /// A new version of what is in force.
@@ -140,13 +143,24 @@
     std::strong_ordering operator<=>(const servers_changed&) const = default;
 };
 
-/// How many instances share budgets and connection limits.
+/// How many instances there are.
 struct fleet_changed
 {
-    std::uint32_t instances = 1;
+    /// That live now.
+    std::uint32_t live = 1;
+    /// That may spend a share of budgets and connection limits.
+    std::uint32_t sharing = 1;
     auto operator<=>(const fleet_changed&) const = default;
 };
 
+/// Another instance told of its load.
+struct load_heard
+{
+    core::instance_id from;
+    load_report report;
+    auto operator<=>(const load_heard&) const = default;
+};
+
 /// Time has passed.
 struct tick
 {
@@ -155,8 +169,7 @@
 
 using event =
     std::variant<arrival, caller_left, call_not_run, call_broken, call_answered,
-                 call_failed, call_done, routes_changed, servers_changed,
-                 fleet_changed, tick>;
+                 call_failed, call_done, routes_changed, servers_changed, fleet_changed, load_heard, tick>;
 
 } // namespace oriolefall::dispatch
 
--- /dev/null
+++ b/oriolefall/dispatch/fleet_load.cpp
@@ -0,0 +1,77 @@
+#include "oriolefall/dispatch/fleet_load.hpp"
+
+#include <algorithm>
+
+namespace oriolefall::dispatch {
+
+namespace {
+
+/// After this time an instance that fell silent no longer counts.
+constexpr absl::Duration report_lifetime = absl::Milliseconds(900);
+
+template <class Map, class Key>
+fleet_load::sum find_or_none(const Map& sums, const Key& key)
+{
+    const auto found = sums.find(key);
+    return found == sums.end() ? fleet_load::sum{} : found->second;
+}
+
+} // namespace
+
+void fleet_load::hear(absl::Time now, const core::instance_id& from,
+                      const load_report& report)
+{
+    reports_.insert_or_assign(from, heard{report, now});
+    add_up();
+}
+
+void fleet_load::set_instances(std::uint32_t instances)
+{
+    instances_ = std::max(instances, 1U);
+    add_up();
+}
+
+void fleet_load::refresh(absl::Time now)
+{
+    const auto dropped = std::erase_if(reports_, [now](const auto& each) {
+        return now - each.second.at > report_lifetime;
+    });
+    if (dropped > 0)
+        add_up();
+}
+
+fleet_load::sum
+fleet_load::at_server(const core::backend_server_id& server) const
+{
+    return find_or_none(servers_, server);
+}
+
+fleet_load::sum fleet_load::in_lane(std::uint64_t lane) const
+{
+    return find_or_none(lanes_, lane);
+}
+
+void fleet_load::add_up()
+{
+    servers_.clear();
+    lanes_.clear();
+    if (reports_.empty())
+        return;
+    const double scale =
+        std::max(1.0, static_cast<double>(instances_ - 1) /
+                          static_cast<double>(reports_.size()));
+    for (const auto& [from, each] : reports_) {
+        for (const server_share& share : each.report.servers) {
+            sum& total = servers_[share.server];
+            total.calls += scale * share.calls;
+            total.tokens += scale * share.backlog_tokens;
+        }
+        for (const lane_share& share : each.report.lanes) {
+            sum& total = lanes_[share.lane];
+            total.calls += scale * share.calls;
+            total.tokens += scale * share.read_tokens_per_s;
+        }
+    }
+}
+
+} // namespace oriolefall::dispatch
--- /dev/null
+++ b/oriolefall/dispatch/fleet_load.hpp
@@ -0,0 +1,53 @@
+#ifndef ORIOLEFALL_DISPATCH_FLEET_LOAD_HPP
+#define ORIOLEFALL_DISPATCH_FLEET_LOAD_HPP
+
+#include "oriolefall/dispatch/load_report.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+
+namespace oriolefall::dispatch {
+
+/// Load of the other instances, summed from their reports. Where only some
+/// of them are heard, they stand for all. One thread.
+class fleet_load
+{
+public:
+    struct sum
+    {
+        double calls = 0;
+        double tokens = 0;
+    };
+
+    void hear(absl::Time now, const core::instance_id& from,
+              const load_report& report);
+    /// Instances that live, this one among them.
+    void set_instances(std::uint32_t instances);
+    /// Forgets reports that are too old. Before the sums are asked for.
+    void refresh(absl::Time now);
+
+    /// Calls and backlog of the others at a server.
+    [[nodiscard]] sum at_server(const core::backend_server_id& server) const;
+    /// Calls, and tokens to read in a second, of the others in a lane.
+    [[nodiscard]] sum in_lane(std::uint64_t lane) const;
+
+private:
+    struct heard
+    {
+        load_report report;
+        absl::Time at;
+    };
+    void add_up();
+
+    std::map<core::instance_id, heard> reports_;
+    absl::flat_hash_map<core::backend_server_id, sum> servers_;
+    absl::flat_hash_map<std::uint64_t, sum> lanes_;
+    std::uint32_t instances_ = 1;
+};
+
+} // namespace oriolefall::dispatch
+
+#endif
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -19,46 +19,69 @@
 }
 
 double engine_cost(const placement_settings& settings,
-                   const placement_facts& facts, const server_state& server,
-                   bool is_home)
+                   const placement_facts& facts, const server_view& view)
 {
-    const std::uint32_t all = total_tokens(facts.prompt);
-    double to_read = tokens_to_read(facts.prompt, server);
-    if (is_home && !facts.prompt.empty()) {
-        const double shared = all - facts.prompt.back().tokens;
-        to_read = std::min(to_read, all - shared * settings.home_share);
-    }
-    const double backlog = static_cast<double>(server.own_backlog_tokens());
-    return (to_read + backlog) / settings.read_tokens_per_ms +
-           settings.ms_per_running_call * server.calls_there(facts.now);
+    const double lane = view.is_in_lane ? 0 : settings.other_lane_ms;
+    const double to_read = expected_to_read(settings, facts.prompt, view);
+    const double reading =
+        view.server.slowness() * to_read / settings.read_tokens_per_ms;
+    return lane + expected_first_event(settings, view, to_read) +
+           (settings.reading_weight - 1) * reading;
 }
 
 double plain_cost(const placement_settings& settings,
-                  const placement_facts& facts, const server_state& server)
+                  const placement_facts& facts, const server_view& view)
 {
-    const double slots = std::max(server.entry().slots, 1U);
-    return settings.plain_call_ms * server.calls_there(facts.now) / slots;
+    const double slots = std::max(view.server.entry().slots, 1U);
+    const double calls =
+        std::max(view.server.calls_there(facts.now),
+                 view.server.own_calls() + view.other_calls);
+    return settings.plain_call_ms * calls / slots;
+}
+
+double home_share(const placement_settings& settings, unsigned rank)
+{
+    if (rank == 0)
+        return 0;
+    return rank == 1 ? settings.first_home_share : settings.second_home_share;
 }
 
 } // namespace
 
 placement_hook expected_time(placement_settings settings)
 {
-    return [settings](const placement_facts& facts, const server_state& server,
-                      bool is_home) {
-        const double far = far_cost(settings, facts, server);
+    return [settings](const placement_facts& facts, const server_view& view) {
+        const double far = far_cost(settings, facts, view.server);
         const double warm_up =
-            absl::ToDoubleMilliseconds(server.entry().warmup_left) / 2;
+            absl::ToDoubleMilliseconds(view.server.entry().warmup_left) / 2;
         if (!facts.is_engine)
-            return far + warm_up + plain_cost(settings, facts, server);
-        return far + warm_up + engine_cost(settings, facts, server, is_home);
+            return far + warm_up + plain_cost(settings, facts, view);
+        return far + warm_up + engine_cost(settings, facts, view);
     };
 }
 
-std::uint32_t tokens_to_read(std::span<const prompt_part> prompt,
-                             const server_state& server)
+double expected_first_event(const placement_settings& settings,
+                            const server_view& view, double tokens_to_read)
+{
+    const server_state& server = view.server;
+    const double backlog = static_cast<double>(server.own_backlog_tokens()) +
+                           view.other_backlog_tokens;
+    const double calls = server.own_calls() + view.other_calls;
+    return settings.first_event_ms +
+           server.slowness() *
+               ((tokens_to_read + backlog) / settings.read_tokens_per_ms) +
+           settings.ms_per_running_call * calls;
+}
+
+std::uint32_t expected_to_read(const placement_settings& settings,
+                               std::span<const prompt_part> prompt,
+                               const server_view& view)
 {
-    return total_tokens(prompt) - server.cache().kept_tokens(prompt);
+    const std::uint32_t all = total_tokens(prompt);
+    const double kept = view.server.cache().kept_tokens(prompt);
+    const double shared = prompt.empty() ? 0 : all - prompt.back().tokens;
+    const double by_home = shared * home_share(settings, view.home_rank);
+    return all - static_cast<std::uint32_t>(std::max(kept, by_home));
 }
 
 std::uint32_t total_tokens(std::span<const prompt_part> prompt)
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -16,18 +16,27 @@
 /// What the cost of sending a request to a server is reckoned with.
 struct placement_settings
 {
-    /// Prompt tokens that an engine reads in a millisecond.
-    double read_tokens_per_ms = 50;
-    /// Added to the time of one token for each call that runs, in ms.
+    /// Prompt tokens that an engine is taken to read in a millisecond until
+    /// its answers have shown how fast it is.
+    double read_tokens_per_ms = 40;
+    /// Weight of reading a shared prompt once more against the time it takes:
+    /// it holds up all others at that engine and drops what they share.
+    double reading_weight = 6;
+    /// Time to the first event of an engine with nothing else to do, in ms.
+    double first_event_ms = 40;
+    /// Added for each call that runs there, in ms.
     double ms_per_running_call = 2;
     /// Time of one call at a plain service, in ms.
     double plain_call_ms = 60;
     /// Cost of leaving the region, fixed and for each KiB of the request.
     double far_ms = 20;
     double far_ms_per_kib = 2;
-    /// Share of a shared prompt that its home server is taken to keep, when
-    /// this instance has not sent it there itself: others have.
-    double home_share = 0.7;
+    /// Cost of leaving the lane of the request's goal.
+    double other_lane_ms = 2000;
+    /// Shares of a shared prompt that its first and second home are taken to
+    /// keep although this instance has not sent it there: others have.
+    double first_home_share = 0.9;
+    double second_home_share = 0.3;
     std::partial_ordering
     operator<=>(const placement_settings&) const = default;
 };
@@ -42,17 +51,36 @@
     absl::Time now;
 };
 
+/// What placement knows of one server.
+struct server_view
+{
+    const server_state& server;
+    /// 1 for the home of the request's shared prompt, 2 for the next one, 0
+    /// for others.
+    unsigned home_rank = 0;
+    bool is_in_lane = true;
+    /// Of the other instances.
+    double other_calls = 0;
+    double other_backlog_tokens = 0;
+};
+
 /// The cost of sending the request to the server, in ms; the lowest wins.
 using placement_hook =
-    std::function<double(const placement_facts&, const server_state&,
-                         /*is_home*/ bool)>;
+    std::function<double(const placement_facts&, const server_view&)>;
 
 /// The cost by the time to the first event or answer that is expected there.
 [[nodiscard]] placement_hook expected_time(placement_settings settings);
 
-/// The tokens of `prompt` that `server` has to read, its home or not.
-[[nodiscard]] std::uint32_t tokens_to_read(std::span<const prompt_part> prompt,
-                                           const server_state& server);
+/// Time to the first event that is expected of an engine, in ms.
+[[nodiscard]] double expected_first_event(const placement_settings& settings,
+                                          const server_view& view,
+                                          double tokens_to_read);
+
+/// The tokens of `prompt` that the server probably has to read.
+[[nodiscard]] std::uint32_t
+expected_to_read(const placement_settings& settings,
+                 std::span<const prompt_part> prompt, const server_view& view);
+
 [[nodiscard]] std::uint32_t total_tokens(std::span<const prompt_part> prompt);
 
 /// Key by which requests that share a prompt find their home server: the last
--- a/oriolefall/dispatch/server_state.cpp
+++ b/oriolefall/dispatch/server_state.cpp
@@ -13,6 +13,10 @@
 /// Time in which a report of load loses most of its meaning.
 constexpr absl::Duration load_fades_in = absl::Seconds(2);
 constexpr std::uint32_t most_doublings = 4;
+/// Weight of the newest answer in the slowness.
+constexpr double slowness_weight = 0.15;
+constexpr double least_slowness = 0.15;
+constexpr double most_slowness = 6;
 
 } // namespace
 
@@ -131,6 +135,24 @@
     return std::max<double>(own_calls_, told * fade);
 }
 
+void server_state::note_first_event(double expected_ms, double seen_ms)
+{
+    const double ratio = seen_ms / std::max(expected_ms, 1.0);
+    const double next =
+        slowness_ * (1 - slowness_weight + slowness_weight * ratio);
+    slowness_ = std::clamp(next, least_slowness, most_slowness);
+}
+
+double server_state::slowness() const
+{
+    return slowness_;
+}
+
+void server_state::assume_slowness(double slowness)
+{
+    slowness_ = slowness;
+}
+
 std::uint32_t server_state::own_calls() const
 {
     return own_calls_;
--- a/oriolefall/dispatch/server_state.hpp
+++ b/oriolefall/dispatch/server_state.hpp
@@ -57,6 +57,12 @@
     /// Calls that run or wait there, of all callers, as far as known.
     [[nodiscard]] double calls_there(absl::Time now) const;
     [[nodiscard]] std::uint32_t own_calls() const;
+    /// Compares the time to a first event with what was expected.
+    void note_first_event(double expected_ms, double seen_ms);
+    /// How much slower it reads than expected; 1 is as expected.
+    [[nodiscard]] double slowness() const;
+    /// What is taken before it has shown how fast it is.
+    void assume_slowness(double slowness);
     /// Prompt tokens of own calls that it has still to read.
     [[nodiscard]] std::uint64_t own_backlog_tokens() const;
 
@@ -83,6 +89,7 @@
     std::uint32_t ejections_ = 0;
     absl::Time ejected_until_ = absl::InfinitePast();
     bool on_probation_ = false;
+    double slowness_ = 1;
 };
 
 } // namespace oriolefall::dispatch
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -197,7 +197,8 @@
             begin_events();
         if (framing_.chunked)
             caller_->write(std::string(last_chunk));
-        around_.tell(dispatch::call_done{id_, call, splitter_.events()});
+        around_.tell(dispatch::call_done{id_, call, splitter_.events(),
+                                         longest_gap_});
         end(framing_.chunked);
         return;
     }
@@ -212,7 +213,8 @@
     } else if (framing_.chunked) {
         caller_->write(std::string(last_chunk));
     }
-    around_.tell(dispatch::call_done{id_, call, 0});
+    around_.tell(dispatch::call_done{id_, call, 0,
+                                     absl::ZeroDuration()});
     end(framing_.length || framing_.chunked);
 }
 
@@ -252,6 +254,9 @@
 {
     if (events.empty())
         return;
+    const absl::Time now = core::monotonic_now();
+    longest_gap_ = std::max(longest_gap_, now - last_event_at_);
+    last_event_at_ = now;
     if (!begun_)
         begin_events();
     if (!std::exchange(told_answered_, true))
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -92,6 +92,8 @@
     /// Bytes of an answer have gone to the caller.
     bool begun_ = false;
     bool told_answered_ = false;
+    absl::Time last_event_at_ = absl::InfiniteFuture();
+    absl::Duration longest_gap_ = absl::ZeroDuration();
     bool over_ = false;
 };
 
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -227,7 +227,9 @@
         held->act(order);
     }
 
+    // These two go to other duties.
     void carry_out(const dispatch::decision_note&) {}
+    void carry_out(const dispatch::tell_load&) {}
 
     void cut_all()
     {
--- a/oriolefall/membership/member_table.cpp
+++ b/oriolefall/membership/member_table.cpp
@@ -316,6 +316,17 @@
     out.emplace_back(peers_chosen{peers_});
 }
 
+std::vector<core::instance_id>
+member_table::all_others(const std::vector<member>& known) const
+{
+    std::vector<core::instance_id> others;
+    for (const member& value : known)
+        if (takes_part(value) && value.id != self_.id)
+            others.push_back(value.id);
+    std::ranges::sort(others);
+    return others;
+}
+
 /// The peers by the choice of all, and those that it would be without the
 /// suspected ones: when a whole failure domain is lost, its next members are
 /// listened for while the first still have time to contradict.
@@ -323,6 +334,8 @@
 member_table::chosen_among(const std::vector<member>& known) const
 {
     const std::size_t links = settings_.links_between_groups;
+    if (known.size() <= settings_.full_mesh_members)
+        return all_others(known);
     std::vector<member> trusted;
     std::ranges::copy_if(known, std::back_inserter(trusted),
                          [](const member& value) {
--- a/oriolefall/membership/member_table.hpp
+++ b/oriolefall/membership/member_table.hpp
@@ -82,6 +82,8 @@
               std::vector<action>& out) const;
     void choose(absl::Time now, std::vector<action>& out);
     [[nodiscard]] std::vector<core::instance_id>
+    all_others(const std::vector<member>& known) const;
+    [[nodiscard]] std::vector<core::instance_id>
     chosen_among(const std::vector<member>& known) const;
     [[nodiscard]] std::vector<member>
     probed(const std::vector<member>& known) const;
--- a/oriolefall/membership/membership_settings.hpp
+++ b/oriolefall/membership/membership_settings.hpp
@@ -31,6 +31,8 @@
     std::size_t max_news = 64;
     /// Links between two failure domains of a region, and between two regions.
     std::size_t links_between_groups = 2;
+    /// Up to this number of instances each has a link to every other.
+    std::size_t full_mesh_members = 0;
     std::strong_ordering
     operator<=>(const membership_settings&) const = default;
 };
--- a/oriolefall/peer/codec.cpp
+++ b/oriolefall/peer/codec.cpp
@@ -40,7 +40,8 @@
 void put(packer& to, const membership::member& value);
 void put(packer& to, const settings::path_version& value);
 void put(packer& to, const settings::tree_object& value);
-void put(packer& to, const load_hint& value);
+void put(packer& to, const dispatch::server_share& value);
+void put(packer& to, const dispatch::lane_share& value);
 
 template <class T>
 void put(packer& to, const std::vector<T>& values)
@@ -80,11 +81,16 @@
     put_array(to, value.path, value.version, value.value);
 }
 
-void put(packer& to, const load_hint& value)
+void put(packer& to, const dispatch::server_share& value)
 {
-    put_array(to, value.server, std::uint64_t{value.running},
-              std::uint64_t{value.queued},
-              static_cast<std::uint64_t>(absl::ToInt64Milliseconds(value.age)));
+    put_array(to, value.server, std::uint64_t{value.calls},
+              std::uint64_t{value.backlog_tokens});
+}
+
+void put(packer& to, const dispatch::lane_share& value)
+{
+    put_array(to, value.lane, std::uint64_t{value.calls},
+              std::uint64_t{value.read_tokens_per_s});
 }
 
 void put_message(packer& to, std::uint64_t kind,
@@ -122,9 +128,10 @@
     put_array(to, kind, value.objects);
 }
 
-void put_message(packer& to, std::uint64_t kind, const load_hints& value)
+void put_message(packer& to, std::uint64_t kind,
+                 const dispatch::load_report& value)
 {
-    put_array(to, kind, value.servers);
+    put_array(to, kind, value.servers, value.lanes);
 }
 
 void put_message(packer& to, std::uint64_t kind, const key_question& value)
@@ -191,13 +198,20 @@
     value.value = fields.text();
 }
 
-void get(field_reader& from, load_hint& value)
+void get(field_reader& from, dispatch::server_share& value)
 {
     field_reader fields = from.array();
     get(fields, value.server);
-    value.running = fields.number_as<std::uint32_t>();
-    value.queued = fields.number_as<std::uint32_t>();
-    value.age = absl::Milliseconds(fields.number_as<std::uint32_t>());
+    value.calls = fields.number_as<std::uint32_t>();
+    value.backlog_tokens = fields.number_as<std::uint32_t>();
+}
+
+void get(field_reader& from, dispatch::lane_share& value)
+{
+    field_reader fields = from.array();
+    value.lane = fields.number();
+    value.calls = fields.number_as<std::uint32_t>();
+    value.read_tokens_per_s = fields.number_as<std::uint32_t>();
 }
 
 template <class T>
@@ -245,9 +259,10 @@
     get(from, value.objects);
 }
 
-void get_message(field_reader& from, load_hints& value)
+void get_message(field_reader& from, dispatch::load_report& value)
 {
     get(from, value.servers);
+    get(from, value.lanes);
 }
 
 void get_message(field_reader& from, key_question& value)
--- a/oriolefall/peer/message.hpp
+++ b/oriolefall/peer/message.hpp
@@ -2,12 +2,11 @@
 #define ORIOLEFALL_PEER_MESSAGE_HPP
 
 #include "oriolefall/core/ids.hpp"
+#include "oriolefall/dispatch/load_report.hpp"
 #include "oriolefall/membership/event.hpp"
 #include "oriolefall/membership/member.hpp"
 #include "oriolefall/settings/tree_object.hpp"
 
-#include <absl/time/time.h>
-
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -45,23 +44,6 @@
     auto operator<=>(const settings_answer&) const = default;
 };
 
-/// Load of one backend server as the sender saw it.
-struct load_hint
-{
-    core::backend_server_id server;
-    std::uint32_t running = 0;
-    std::uint32_t queued = 0;
-    /// How old the figures were when they were sent.
-    absl::Duration age = absl::ZeroDuration();
-    std::strong_ordering operator<=>(const load_hint&) const = default;
-};
-
-struct load_hints
-{
-    std::vector<load_hint> servers;
-    std::strong_ordering operator<=>(const load_hints&) const = default;
-};
-
 /// Asks the issuer of an idempotency key what became of it.
 struct key_question
 {
@@ -95,7 +77,7 @@
 /// Everything that instances tell each other. All of it may be lost.
 using message =
     std::variant<membership::heartbeat, member_news, membership::member_buckets,
-                 settings_offer, settings_fetch, settings_answer, load_hints,
+                 settings_offer, settings_fetch, settings_answer, dispatch::load_report,
                  key_question, key_answer>;
 
 } // namespace oriolefall::peer
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -69,6 +69,8 @@
     for (dispatch::action& action : actions_) {
         if (const auto* note = std::get_if<dispatch::decision_note>(&action))
             hooks_.note(*note);
+        else if (const auto* load = std::get_if<dispatch::tell_load>(&action))
+            hooks_.tell_load(load->report);
         else
             late_.push_back(std::move(action));
     }
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -38,12 +38,15 @@
     settings_.dispatch.most_open = settings_.forward.most_open;
     decide_ = std::make_unique<decide_duty>(
         settings_.dispatch,
-        dispatch::dispatch_hooks{dispatch::expected_time({}), random_numbers()},
+        dispatch::dispatch_hooks{dispatch::expected_time(settings_.dispatch.pool.placement), random_numbers()},
         decide_duty::hooks{
             [this](const dispatch::action& action) {
                 return forward_->give(action);
             },
-            [this](const dispatch::decision_note& value) { note(value); }},
+            [this](const dispatch::decision_note& value) { note(value); },
+            [this](const dispatch::load_report& report) {
+                tell_load(report);
+            }},
         events_per_request * settings_.forward.most_open);
     forward_ = std::make_unique<forward::forwarder>(
         settings_.forward, hooks_.requests,
@@ -141,7 +144,13 @@
     };
     hooks.settings_kept = [](const auto&) {};
     hooks.reader_role_changed = [](bool) {};
-    hooks.other_message = [](const auto&) {};
+    hooks.other_message = [this](const peer::peer_message& message) {
+        // Without room the next report makes up for it.
+        if (const auto* report =
+                std::get_if<dispatch::load_report>(&message.message))
+            static_cast<void>(
+                decide_->tell(dispatch::load_heard{message.from, *report}));
+    };
     return hooks;
 }
 
@@ -211,15 +220,23 @@
     members_.set(members);
     const auto there = static_cast<std::uint32_t>(
         std::ranges::count_if(*members, membership::takes_part));
-    if (there <= most_instances_)
-        return;
     // Instances that can't be heard may still spend their share: the number
-    // never falls.
-    most_instances_ = there;
-    if (!decide_->tell(dispatch::fleet_changed{there}))
+    // of those that share never falls.
+    most_instances_ = std::max(most_instances_, there);
+    if (!decide_->tell(dispatch::fleet_changed{there, most_instances_}))
         log_.write("fleet_size_not_told", {});
 }
 
+void router::tell_load(const dispatch::load_report& report)
+{
+    if (!joined_)
+        return;
+    const auto members = members_.get();
+    for (const membership::member& each : *members)
+        if (each.id != settings_.instance && membership::takes_part(each))
+            control_->give(peer::outgoing{each.id, report});
+}
+
 void router::join_when_ready()
 {
     if (!is_ready() || joined_.exchange(true))
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -41,6 +41,7 @@
     void on_servers(const follow::collection_view& view);
     void on_instances(const std::vector<follow::stored_object>& objects);
     void on_members(const peer::members_ptr& members);
+    void tell_load(const dispatch::load_report& report);
     /// Joins the other instances once requests can be answered.
     void join_when_ready();
     [[nodiscard]] bool is_ready() const;
--- a/tests/peer/any_message.cpp
+++ b/tests/peer/any_message.cpp
@@ -56,10 +56,15 @@
     return {any<std::string>(), any(), any<std::string>()};
 }
 
-load_hint any_load()
+dispatch::server_share any_server_share()
 {
     return {any_id<core::backend_server_id>(), any<std::uint32_t>(),
-            any<std::uint32_t>(), absl::Milliseconds(any<std::uint32_t>())};
+            any<std::uint32_t>()};
+}
+
+dispatch::lane_share any_lane_share()
+{
+    return {any(), any<std::uint32_t>(), any<std::uint32_t>()};
 }
 
 message any_settings_message(int kind)
@@ -112,7 +117,9 @@
         return any_settings_message(kind - 3);
     if (kind < 8)
         return any_key_message(kind - 6);
-    return load_hints{some<load_hint>(any_load)};
+    return dispatch::load_report{
+        some<dispatch::server_share>(any_server_share),
+        some<dispatch::lane_share>(any_lane_share)};
 }
 
 } // namespace oriolefall::tests
