Keep shared prompts at the engine that read them, at a fixed cost a token

Cause: prompts spilled to other engines as soon as these had less to do; each spill read 13,000 tokens again and so made the burst it fled from. Change: a token to read costs 0.5 ms beside its time; the home engine is taken to keep a shared prompt whole. Lanes are switched off here, to be weighed next.

--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -23,10 +23,8 @@
 {
     const double lane = view.is_in_lane ? 0 : settings.other_lane_ms;
     const double to_read = expected_to_read(settings, facts.prompt, view);
-    const double reading =
-        view.server.slowness() * to_read / settings.read_tokens_per_ms;
     return lane + expected_first_event(settings, view, to_read) +
-           (settings.reading_weight - 1) * reading;
+           settings.ms_per_token_read * to_read;
 }
 
 double plain_cost(const placement_settings& settings,
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -19,9 +19,9 @@
     /// Prompt tokens that an engine is taken to read in a millisecond until
     /// its answers have shown how fast it is.
     double read_tokens_per_ms = 40;
-    /// Weight of reading a shared prompt once more against the time it takes:
-    /// it holds up all others at that engine and drops what they share.
-    double reading_weight = 6;
+    /// Cost of reading a token, beside the time it takes: it holds up all
+    /// others at that engine, and drops what they share from its memory.
+    double ms_per_token_read = 0.5;
     /// Time to the first event of an engine with nothing else to do, in ms.
     double first_event_ms = 40;
     /// Added for each call that runs there, in ms.
@@ -32,10 +32,10 @@
     double far_ms = 20;
     double far_ms_per_kib = 2;
     /// Cost of leaving the lane of the request's goal.
-    double other_lane_ms = 2000;
+    double other_lane_ms = 0;
     /// Shares of a shared prompt that its first and second home are taken to
     /// keep although this instance has not sent it there: others have.
-    double first_home_share = 0.9;
+    double first_home_share = 1.0;
     double second_home_share = 0.3;
     std::partial_ordering
     operator<=>(const placement_settings&) const = default;
--- a/oriolefall/dispatch/service_pool.cpp
+++ b/oriolefall/dispatch/service_pool.cpp
@@ -91,7 +91,7 @@
         if (server->entry().leaving)
             view.is_in_lane = false;
         else if (part != parts_.end())
-            view.is_in_lane = lies_in(*part, place, usable, settings_.lanes);
+            view.is_in_lane = usable > 0;
         if (!server->entry().leaving)
             ++place;
         views.push_back(view);
