Remove lanes of engines by goal

Cause: with prompts kept at home the bursts fit the engines; lanes move homes and leave engines idle. Conclusion: removed, with the reports of demand that only they used.

--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -4,7 +4,6 @@
 #include "oriolefall/dispatch/placement.hpp"
 #include "oriolefall/dispatch/repeat_budget.hpp"
 #include "oriolefall/dispatch/server_state.hpp"
-#include "oriolefall/dispatch/service_pool.hpp"
 
 #include <absl/time/time.h>
 
@@ -22,7 +21,7 @@
     core::region_name here;
     repeat_budget_settings repeats;
     ejection_settings ejection;
-    pool_settings pool;
+    placement_settings placement;
     /// Between two reports of load to the other instances.
     absl::Duration report_interval = absl::Milliseconds(150);
     /// Instances that share budgets at least, before others are heard of.
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -67,7 +67,6 @@
     budget_of(request.service).note_request(now_);
     const auto* service = table_->find_service(request.service);
     request.is_engine = service != nullptr && service->engine.has_value();
-    request.lane = lane_key(request.service, route.goal);
     const auto [place_in_map, is_new] =
         requests_.emplace(event.id.value(), std::move(request));
     assert(is_new);
@@ -291,7 +290,6 @@
             server->note_read(request.call->tokens_to_read);
         server->note_ended();
     }
-    pool_of(request.service).lane(request.lane, request.route->goal).note_ended();
     request.call.reset();
 }
 
@@ -337,7 +335,7 @@
 
 service_pool& dispatcher::pool_of(const routing::service_name& name)
 {
-    return pools_.try_emplace(name, settings_.pool).first->second;
+    return pools_.try_emplace(name).first->second;
 }
 
 void dispatcher::report_load()
@@ -354,8 +352,6 @@
             report.servers.push_back(
                 {id, server->own_calls(),
                  static_cast<std::uint32_t>(server->own_backlog_tokens())});
-    for (const auto& [name, pool] : pools_)
-        pool.report_lanes(now_, report.lanes);
     report_at_ = requests_.empty() ? absl::InfiniteFuture()
                                    : now_ + settings_.report_interval;
     out_->push_back(tell_load{std::move(report)});
@@ -389,8 +385,8 @@
         "server=" + call.server.value() +
             " priority=" + std::to_string(request.route->priority) +
             " tokens=" + std::to_string(total_tokens(request.facts.prompt)) +
-            " to_read=" + std::to_string(call.tokens_to_read) + " first_ms=" +
-            ms(call.answered_at - request.facts.received) +
+            " to_read=" + std::to_string(call.tokens_to_read) +
+            " first_ms=" + ms(call.answered_at - request.facts.received) +
             " gap_ms=" + ms(event.longest_gap) +
             " events=" + std::to_string(event.events),
         false});
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -4,6 +4,8 @@
 #include "oriolefall/dispatch/action.hpp"
 #include "oriolefall/dispatch/dispatch_settings.hpp"
 #include "oriolefall/dispatch/event.hpp"
+#include "oriolefall/dispatch/fleet_load.hpp"
+#include "oriolefall/dispatch/service_pool.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -54,7 +56,6 @@
         routing::service_name service;
         /// The service's servers are model engines.
         bool is_engine = false;
-        std::uint64_t lane = 0;
         /// Servers that it was sent to, each once.
         std::vector<core::backend_server_id> tried;
         /// Servers that could not be reached for it.
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -98,9 +98,7 @@
     facts.body_bytes = request.facts.body_bytes;
     facts.here = settings_.here;
     facts.now = now_;
-    if (request.is_engine)
-        pool.plan(now_, others_);
-    const auto views = pool.views(request.lane, facts.prompt, others_);
+    const auto views = pool.views(facts.prompt, others_);
 
     const server_view* best = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
@@ -149,17 +147,13 @@
     call.id = core::call_id(next_call_++);
     call.server = server.entry().id;
     call.sent_at = now_;
-    call.tokens_to_read = expected_to_read(settings_.pool.placement,
-                                           request.facts.prompt, view);
-    call.expected_ms = expected_first_event(settings_.pool.placement, view,
-                                            call.tokens_to_read);
+    call.tokens_to_read =
+        expected_to_read(settings_.placement, request.facts.prompt, view);
+    call.expected_ms =
+        expected_first_event(settings_.placement, view, call.tokens_to_read);
     server.note_sent(call.tokens_to_read);
     if (request.is_engine)
         server.cache().note_read(request.facts.prompt);
-    lane_meter& lane = pool_of(request.service).lane(request.lane, route.goal);
-    if (request.tried.empty())
-        lane.note_arrival(now_, call.tokens_to_read);
-    lane.note_sent();
     request.tried.push_back(call.server);
 
     send_call order;
--- a/oriolefall/dispatch/fleet_load.cpp
+++ b/oriolefall/dispatch/fleet_load.cpp
@@ -9,13 +9,6 @@
 /// After this time an instance that fell silent no longer counts.
 constexpr absl::Duration report_lifetime = absl::Milliseconds(900);
 
-template <class Map, class Key>
-fleet_load::sum find_or_none(const Map& sums, const Key& key)
-{
-    const auto found = sums.find(key);
-    return found == sums.end() ? fleet_load::sum{} : found->second;
-}
-
 } // namespace
 
 void fleet_load::hear(absl::Time now, const core::instance_id& from,
@@ -43,18 +36,13 @@
 fleet_load::sum
 fleet_load::at_server(const core::backend_server_id& server) const
 {
-    return find_or_none(servers_, server);
-}
-
-fleet_load::sum fleet_load::in_lane(std::uint64_t lane) const
-{
-    return find_or_none(lanes_, lane);
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? sum{} : found->second;
 }
 
 void fleet_load::add_up()
 {
     servers_.clear();
-    lanes_.clear();
     if (reports_.empty())
         return;
     const double scale =
@@ -64,12 +52,7 @@
         for (const server_share& share : each.report.servers) {
             sum& total = servers_[share.server];
             total.calls += scale * share.calls;
-            total.tokens += scale * share.backlog_tokens;
-        }
-        for (const lane_share& share : each.report.lanes) {
-            sum& total = lanes_[share.lane];
-            total.calls += scale * share.calls;
-            total.tokens += scale * share.read_tokens_per_s;
+            total.backlog_tokens += scale * share.backlog_tokens;
         }
     }
 }
--- a/oriolefall/dispatch/fleet_load.hpp
+++ b/oriolefall/dispatch/fleet_load.hpp
@@ -19,7 +19,8 @@
     struct sum
     {
         double calls = 0;
-        double tokens = 0;
+        /// Prompt tokens still to be read.
+        double backlog_tokens = 0;
     };
 
     void hear(absl::Time now, const core::instance_id& from,
@@ -31,8 +32,6 @@
 
     /// Calls and backlog of the others at a server.
     [[nodiscard]] sum at_server(const core::backend_server_id& server) const;
-    /// Calls, and tokens to read in a second, of the others in a lane.
-    [[nodiscard]] sum in_lane(std::uint64_t lane) const;
 
 private:
     struct heard
@@ -44,7 +43,6 @@
 
     std::map<core::instance_id, heard> reports_;
     absl::flat_hash_map<core::backend_server_id, sum> servers_;
-    absl::flat_hash_map<std::uint64_t, sum> lanes_;
     std::uint32_t instances_ = 1;
 };
 
--- a/oriolefall/dispatch/load_report.hpp
+++ b/oriolefall/dispatch/load_report.hpp
@@ -19,21 +19,10 @@
     auto operator<=>(const server_share&) const = default;
 };
 
-/// What one instance sends of one kind of request.
-struct lane_share
-{
-    /// See `lane_key`.
-    std::uint64_t lane = 0;
-    std::uint32_t calls = 0;
-    std::uint32_t read_tokens_per_s = 0;
-    auto operator<=>(const lane_share&) const = default;
-};
-
 /// What one instance tells the others of its load. May be lost.
 struct load_report
 {
     std::vector<server_share> servers;
-    std::vector<lane_share> lanes;
     auto operator<=>(const load_report&) const = default;
 };
 
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -21,9 +21,8 @@
 double engine_cost(const placement_settings& settings,
                    const placement_facts& facts, const server_view& view)
 {
-    const double lane = view.is_in_lane ? 0 : settings.other_lane_ms;
     const double to_read = expected_to_read(settings, facts.prompt, view);
-    return lane + expected_first_event(settings, view, to_read) +
+    return expected_first_event(settings, view, to_read) +
            settings.ms_per_token_read * to_read;
 }
 
@@ -31,9 +30,8 @@
                   const placement_facts& facts, const server_view& view)
 {
     const double slots = std::max(view.server.entry().slots, 1U);
-    const double calls =
-        std::max(view.server.calls_there(facts.now),
-                 view.server.own_calls() + view.other_calls);
+    const double calls = std::max(view.server.calls_there(facts.now),
+                                  view.server.own_calls() + view.other_calls);
     return settings.plain_call_ms * calls / slots;
 }
 
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -31,8 +31,6 @@
     /// Cost of leaving the region, fixed and for each KiB of the request.
     double far_ms = 20;
     double far_ms_per_kib = 2;
-    /// Cost of leaving the lane of the request's goal.
-    double other_lane_ms = 0;
     /// Shares of a shared prompt that its first and second home are taken to
     /// keep although this instance has not sent it there: others have.
     double first_home_share = 1.0;
@@ -58,7 +56,6 @@
     /// 1 for the home of the request's shared prompt, 2 for the next one, 0
     /// for others.
     unsigned home_rank = 0;
-    bool is_in_lane = true;
     /// Of the other instances.
     double other_calls = 0;
     double other_backlog_tokens = 0;
--- a/oriolefall/peer/codec.cpp
+++ b/oriolefall/peer/codec.cpp
@@ -41,7 +41,6 @@
 void put(packer& to, const settings::path_version& value);
 void put(packer& to, const settings::tree_object& value);
 void put(packer& to, const dispatch::server_share& value);
-void put(packer& to, const dispatch::lane_share& value);
 
 template <class T>
 void put(packer& to, const std::vector<T>& values)
@@ -87,12 +86,6 @@
               std::uint64_t{value.backlog_tokens});
 }
 
-void put(packer& to, const dispatch::lane_share& value)
-{
-    put_array(to, value.lane, std::uint64_t{value.calls},
-              std::uint64_t{value.read_tokens_per_s});
-}
-
 void put_message(packer& to, std::uint64_t kind,
                  const membership::heartbeat& value)
 {
@@ -131,7 +124,7 @@
 void put_message(packer& to, std::uint64_t kind,
                  const dispatch::load_report& value)
 {
-    put_array(to, kind, value.servers, value.lanes);
+    put_array(to, kind, value.servers);
 }
 
 void put_message(packer& to, std::uint64_t kind, const key_question& value)
@@ -206,14 +199,6 @@
     value.backlog_tokens = fields.number_as<std::uint32_t>();
 }
 
-void get(field_reader& from, dispatch::lane_share& value)
-{
-    field_reader fields = from.array();
-    value.lane = fields.number();
-    value.calls = fields.number_as<std::uint32_t>();
-    value.read_tokens_per_s = fields.number_as<std::uint32_t>();
-}
-
 template <class T>
 void get(field_reader& from, std::vector<T>& values)
 {
@@ -262,7 +247,6 @@
 void get_message(field_reader& from, dispatch::load_report& value)
 {
     get(from, value.servers);
-    get(from, value.lanes);
 }
 
 void get_message(field_reader& from, key_question& value)
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -38,15 +38,15 @@
     settings_.dispatch.most_open = settings_.forward.most_open;
     decide_ = std::make_unique<decide_duty>(
         settings_.dispatch,
-        dispatch::dispatch_hooks{dispatch::expected_time(settings_.dispatch.pool.placement), random_numbers()},
+        dispatch::dispatch_hooks{
+            dispatch::expected_time(settings_.dispatch.placement),
+            random_numbers()},
         decide_duty::hooks{
             [this](const dispatch::action& action) {
                 return forward_->give(action);
             },
             [this](const dispatch::decision_note& value) { note(value); },
-            [this](const dispatch::load_report& report) {
-                tell_load(report);
-            }},
+            [this](const dispatch::load_report& report) { tell_load(report); }},
         events_per_request * settings_.forward.most_open);
     forward_ = std::make_unique<forward::forwarder>(
         settings_.forward, hooks_.requests,
--- a/tests/peer/any_message.cpp
+++ b/tests/peer/any_message.cpp
@@ -62,11 +62,6 @@
             any<std::uint32_t>()};
 }
 
-dispatch::lane_share any_lane_share()
-{
-    return {any(), any<std::uint32_t>(), any<std::uint32_t>()};
-}
-
 message any_settings_message(int kind)
 {
     switch (kind) {
@@ -118,8 +113,7 @@
     if (kind < 8)
         return any_key_message(kind - 6);
     return dispatch::load_report{
-        some<dispatch::server_share>(any_server_share),
-        some<dispatch::lane_share>(any_lane_share)};
+        some<dispatch::server_share>(any_server_share)};
 }
 
 } // namespace oriolefall::tests
