--- /dev/null
+++ b/tests/adapter/codec_test.cpp
@@ -0,0 +1,327 @@
+#include "platform/directory_codec.hpp"
+#include "platform/request_codec.hpp"
+#include "platform/route_settings_codec.hpp"
+#include "platform/settings_file.hpp"
+#include "platform/store_codec.hpp"
+
+#include <rapidcheck.h>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using namespace oriolefall::platform;
+
+namespace {
+
+const std::map<core::failure_domain_name, core::region_name> regions{
+    {core::failure_domain_name("riga-a"), core::region_name("riga")}};
+
+const std::string settings_text = R"(nodeName=edge-riga-a-1
+zone=riga-a
+region=riga
+zones.riga-a=riga
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+listen.control=10.1.0.40:8229
+listen.directory=10.1.0.40:8224
+seeds=10.1.0.40:8229,10.2.0.29:8229
+provider.address=10.200.1.7:8223
+bounds.retryRatio=0.2
+bounds.graceS=8
+something.new=1
+)";
+
+const std::string server_text =
+    R"({"service":"s1","address":"10.1.0.9:80","zone":"riga-a","capacity":64,
+        "state":"ready","warmupLeftMs":1500,"sequence":4,"born":77})";
+
+std::string with(std::string text, const std::string& from,
+                 const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+forward::request_head some_head()
+{
+    forward::request_head head;
+    head.method(http::verb::post);
+    head.target("/a/b?c=d");
+    head.version(11);
+    head.set("Host", "h.example");
+    head.set("Oriolefall-Attempt-Id", "id-1");
+    head.set("Oriolefall-Deadline-Ms", "8000");
+    head.set("Oriolefall-Prompt-Prefix", "5c:800,9f:410");
+    head.set("Oriolefall-Token-Count", "1210,80");
+    head.set("Authorization", "Bearer secret");
+    head.set("X-Other", "kept");
+    return head;
+}
+
+std::string written(const forward::request_head& head,
+                    const forward::call_additions& additions = {})
+{
+    dispatch::send_call order;
+    order.server = core::backend_server_id("i-7");
+    order.workspace = core::workspace_id("club");
+    order.priority = 3;
+    return make_request_protocol().write_request(head, order, additions);
+}
+
+bool has_line(const std::string& text, const std::string& line)
+{
+    return text.find("\r\n" + line + "\r\n") != std::string::npos;
+}
+
+} // namespace
+
+Test(settings_file, reads_what_it_knows_and_passes_over_the_rest)
+{
+    const auto read = parse_settings_file(settings_text);
+    const auto& settings = std::get<process_settings>(read);
+    cr_assert_eq(settings.instance.value(), "edge-riga-a-1");
+    cr_assert_eq(settings.callers.port, 8227);
+    cr_assert_eq(settings.seeds.size(), 2);
+    cr_assert_eq(settings.repeats.ratio, 0.2);
+    cr_assert_eq(settings.grace, absl::Seconds(8));
+}
+
+Test(settings_file, names_the_line_of_each_fault)
+{
+    const auto read = parse_settings_file(
+        with(with(settings_text, "10.1.0.40:8220", "nowhere"), "region=riga",
+             "other=1"));
+    const auto& faults = std::get<std::vector<settings_fault>>(read);
+    cr_assert_eq(faults.size(), 2);
+    cr_assert_eq(faults[0].line, 0);
+    cr_assert_eq(faults[1].line, 6);
+}
+
+Test(settings_file, takes_any_text)
+{
+    cr_assert(rc::check([](const std::string& text) {
+        static_cast<void>(parse_settings_file(text));
+    }));
+}
+
+Test(route_settings, reads_routes_services_limits_and_workspaces)
+{
+    const auto read = parse_route_settings(
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",
+        "routeType":"streaming","timeoutMs":12000,"goalMs":2000,"priority":2,
+        "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+        "maxAttempts":2,"public":false,"resumable":true,"gapTargetMs":800},
+        {"name":"q","host":"h","pathPrefix":"/b/","routeType":"safe",
+        "service":"s2"}],"services":[{"name":"s1","healthPath":"/health",
+        "maxConns":360,"engine":{"capacity":64,"kvCapacity":681116,"stride":3}}],
+        "limits":{"headerBytes":100,"idleTimeoutMs":9000},
+        "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})");
+    cr_assert(read.has_value());
+    const routing::route& stream = read->routes[0];
+    cr_assert(stream.is_stream && stream.resumable && !stream.is_idempotent);
+    cr_assert_eq(stream.targets.size(), 2);
+    cr_assert_eq(stream.targets[0].weight, 90);
+    cr_assert_eq(stream.max_servers, 2);
+    cr_assert_eq(stream.gap_goal, absl::Milliseconds(800));
+    cr_assert(read->routes[1].is_idempotent);
+    cr_assert_eq(read->services[0].engine->memory_tokens, 681116);
+    cr_assert_eq(read->limits.head_bytes, 100);
+    cr_assert_eq(read->limits.idle_time, absl::Seconds(9));
+    cr_assert_eq(read->workspaces[0].api_keys.size(), 2);
+    cr_assert_eq(*read->workspaces[0].priority, 1);
+}
+
+Test(route_settings, without_a_version_they_are_not_taken)
+{
+    cr_assert_not(parse_route_settings("{}").has_value());
+    cr_assert_not(parse_route_settings("[1").has_value());
+    cr_assert_not(parse_route_settings(R"({"version":"7"})").has_value());
+}
+
+Test(server_entry, reads_a_server)
+{
+    const auto entry = parse_server_entry("i-1", server_text, regions);
+    cr_assert(entry.has_value());
+    cr_assert_eq(entry->location.region.value(), "riga");
+    cr_assert_eq(entry->slots, 64);
+    cr_assert_eq(entry->started_at_ms, 77);
+    cr_assert_not(entry->leaving);
+    cr_assert(parse_server_entry(
+                  "i-1", with(server_text, "\"ready\"", "\"draining\""),
+                  regions)
+                  ->leaving);
+}
+
+Test(server_entry, one_that_is_not_whole_names_no_server)
+{
+    const std::vector<std::pair<std::string, std::string>> faults{
+        {"\"service\":\"s1\"", "\"service\":5"},
+        {"\"address\":\"10.1.0.9:80\"", "\"address\":\"somewhere\""},
+        {"\"capacity\":64", "\"capacity\":\"64\""},
+        {"\"state\":\"ready\"", "\"state\":\"resting\""},
+        {"\"born\":77", "\"born\":7.5"},
+        {"\"zone\":\"riga-a\",", ""}};
+    for (const auto& [from, to] : faults)
+        cr_assert_not(
+            parse_server_entry("i", with(server_text, from, to), regions)
+                .has_value(),
+            "%s", to.c_str());
+    cr_assert_not(parse_server_entry("i", "\xff{", regions).has_value());
+    cr_assert_not(parse_server_entry("i", "", regions).has_value());
+}
+
+Test(requests, read_what_decisions_need)
+{
+    const auto arrival = make_request_protocol().read_request(some_head());
+    cr_assert_eq(arrival.host, "h.example");
+    cr_assert_eq(arrival.path, "/a/b");
+    cr_assert_eq(arrival.api_key, "secret");
+    cr_assert_eq(arrival.patience, absl::Seconds(8));
+    cr_assert_eq(arrival.prompt.size(), 2);
+    cr_assert_eq(arrival.prompt[0].id, 0x5c);
+    cr_assert_eq(arrival.prompt[1].tokens, 410);
+    cr_assert_eq(arrival.max_output_tokens, 80);
+}
+
+Test(requests, go_on_with_the_systems_own_fields_in_place_of_the_callers)
+{
+    auto head = some_head();
+    for (const std::string name :
+         {"Oriolefall-Tenant", "Oriolefall-Expect-Instance", "Oriolefall-Hold",
+          "Oriolefall-Pin-Ms", "Oriolefall-Kv-Backup", "Kv-From", "Kv-Fetch",
+          "Oriolefall-Request-Priority", "Oriolefall-Expect-Version"})
+        head.set(name, "forged");
+    const std::string text = written(
+        head, {absl::Milliseconds(7100), 42, ""});
+    cr_assert(text.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    cr_assert(text.find("forged") == std::string::npos);
+    cr_assert(text.find("secret") == std::string::npos);
+    cr_assert(has_line(text, "Oriolefall-Tenant: club"));
+    cr_assert(has_line(text, "Oriolefall-Expect-Instance: i-7"));
+    cr_assert(has_line(text, "Oriolefall-Request-Priority: 3"));
+    cr_assert(has_line(text, "Oriolefall-Deadline-Ms: 7100"));
+    cr_assert(has_line(text, "Oriolefall-Attempt-Id: id-1"));
+    cr_assert(has_line(text, "Oriolefall-Prompt-Prefix: 5c:800,9f:410"));
+    cr_assert(has_line(text, "X-Other: kept"));
+    cr_assert(has_line(text, "Content-Length: 42"));
+}
+
+Test(requests, fields_of_the_connection_end_here_but_never_the_systems_own)
+{
+    auto head = some_head();
+    head.set("Connection", "close, X-Other, Oriolefall-Attempt-Id");
+    head.set("Keep-Alive", "timeout=5");
+    head.set("Transfer-Encoding", "chunked");
+    const std::string text = written(head);
+    cr_assert(text.find("X-Other") == std::string::npos);
+    cr_assert(text.find("Keep-Alive") == std::string::npos);
+    cr_assert(text.find("Transfer-Encoding") == std::string::npos);
+    cr_assert(has_line(text, "Oriolefall-Attempt-Id: id-1"));
+}
+
+Test(requests, a_stream_goes_on_after_the_last_event_that_the_caller_has)
+{
+    auto head = some_head();
+    head.set("Last-Event-Id", "12");
+    cr_assert(has_line(written(head), "Last-Event-Id: 12"));
+    const std::string resumed = written(head, {absl::Seconds(1), 0, "15"});
+    cr_assert(has_line(resumed, "Last-Event-Id: 15"));
+    cr_assert(resumed.find("12\r\n") == std::string::npos);
+}
+
+Test(answers, tell_their_request_signature_and_load)
+{
+    forward::answer_head head;
+    head.result(200);
+    head.set("Oriolefall-Attempt-Id", "id-1");
+    head.set("Oriolefall-Server-Seal", "s");
+    head.set("Oriolefall-Server-Load", "3,1,8");
+    head.set("Content-Type", "text/event-stream");
+    head.set("Keep-Alive", "timeout=4, max=9");
+    const auto protocol = make_request_protocol();
+    auto facts = protocol.read_answer(some_head(), head);
+    cr_assert(facts.is_ours && facts.is_signed && facts.is_events);
+    cr_assert_not(facts.not_run);
+    cr_assert(*facts.load == (dispatch::server_load{3, 1, 8}));
+    cr_assert_eq(facts.idle_limit->count(), 4000);
+    head.set("Oriolefall-Attempt-Id", "id-0");
+    head.set("Oriolefall-Not-Executed", "1");
+    head.result(421);
+    facts = protocol.read_answer(some_head(), head);
+    cr_assert(!facts.is_ours && facts.not_run && facts.wrong_server);
+}
+
+Test(prompts, any_text_gives_a_list)
+{
+    cr_assert(rc::check([](const std::string& text) {
+        static_cast<void>(parse_prompt(text));
+    }));
+    cr_assert_eq(parse_prompt("5c:1,zz:2,9f:3").size(), 1);
+}
+
+Test(store, calls_are_written_as_the_store_reads_them)
+{
+    const auto protocol = make_store_protocol();
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "i-7", false}),
+                 "/objects/servers?after=i-7");
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "", true}),
+                 "/objects/servers?staleOk=1");
+    cr_assert_eq(protocol.target(follow::watch_call{"config", 530,
+                                                    absl::Seconds(2)}),
+                 "/objects/config?watchFromRev=530&waitMs=2000");
+}
+
+Test(store, answers_are_read_as_pages_changes_or_failures)
+{
+    const auto protocol = make_store_protocol();
+    const follow::list_call list{"servers", "", false};
+    const follow::watch_call watch{"servers", 1, absl::Seconds(1)};
+    const auto page = std::get<follow::list_page>(protocol.read(
+        list, {200, R"({"items":[{"metadata":{"name":"i-1","revision":5},
+                        "spec":{"a":1}},{"metadata":7}],
+                        "hasMore":true,"at":530})"}));
+    cr_assert_eq(page.objects.size(), 1);
+    cr_assert_eq(page.objects[0].revision, 5);
+    cr_assert_eq(page.objects[0].value, R"({"a":1})");
+    cr_assert(page.has_more);
+    cr_assert_eq(page.revision, 530);
+    const auto changes = std::get<follow::change_list>(protocol.read(
+        watch, {200, R"({"events":[{"deleted":true,"object":
+                         {"metadata":{"name":"i-1","revision":6}}}],"at":531})"}));
+    cr_assert(changes.changes[0].deleted);
+    cr_assert(std::holds_alternative<follow::history_gone>(
+        protocol.read(watch, {410, ""})));
+    for (const unsigned status : {429U, 500U, 503U})
+        cr_assert(std::holds_alternative<follow::call_failed>(
+            protocol.read(watch, {status, "{}"})));
+    cr_assert(std::holds_alternative<follow::call_failed>(
+        protocol.read(list, {200, "[]"})));
+}
+
+Test(store, an_instance_that_is_written_is_read_back)
+{
+    membership::member member;
+    member.id = core::instance_id("edge-1");
+    member.callers = {"10.1.0.1", 8000};
+    member.peers = {"10.1.0.1", 8001};
+    member.location = {core::region_name("riga"),
+                       core::failure_domain_name("riga-a")};
+    const auto read = parse_member({"edge-1", 1, print_member(member)});
+    cr_assert(read.has_value());
+    cr_assert(*read == member);
+    cr_assert_not(parse_member({"edge-1", 1, "{}"}).has_value());
+}
+
+Test(directory, questions_are_told_apart)
+{
+    cr_assert(std::holds_alternative<router::ready_question>(
+        parse_question("/ready")));
+    const auto asked = std::get<router::address_question>(
+        parse_question("/resolve?name=a&region=riga&zone=riga-a"));
+    cr_assert_eq(asked.caller.region.value(), "riga");
+    cr_assert_eq(asked.caller.failure_domain.value(), "riga-a");
+    cr_assert(std::holds_alternative<router::unknown_question>(
+        parse_question("/other")));
+    cr_assert_eq(print_addresses({{"10.1.0.1", 80}}, absl::Seconds(2)),
+                 R"({"addresses":["10.1.0.1:80"],"ttlS":2.0})");
+}
