Connect to the store within 0.7 s; fewer, longer watches; silent calls tried elsewhere

Change: connecting has a limit of its own; watches last 6 s, the first after an outage 0.5 s; changes are gathered for 250 ms; probes end a silent connection in 3 s. A silent call of idempotent work is tried elsewhere when budget and servers allow, and goes on when not. Test: store_line gives up connecting (failed first).

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -29,6 +29,10 @@
     int priority = -1;
     /// When the server is to stop its work.
     absl::Time stop_at = absl::InfiniteFuture();
+    /// Silence before the first event or the answer, and between two events,
+    /// after which the deciding duty is told.
+    absl::Duration first_limit = absl::InfiniteDuration();
+    absl::Duration gap_limit = absl::InfiniteDuration();
     /// An answer with an error status is held back for a decision.
     bool hold_errors = false;
     /// A stream that breaks is offered for another call.
@@ -102,8 +106,8 @@
     auto operator<=>(const decision_note&) const = default;
 };
 
-using action =
-    std::variant<send_call, cancel_call, pass_failure, refuse, tell_load, decision_note>;
+using action = std::variant<send_call, cancel_call, pass_failure, refuse,
+                            tell_load, decision_note>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -33,6 +33,16 @@
     absl::Duration limit_grace = absl::Milliseconds(60);
     /// Least time left that makes a further call worth while.
     absl::Duration least_time_for_repeat = absl::Milliseconds(50);
+    /// Silence after which idempotent work is tried elsewhere: this many times
+    /// the time that was expected, and this part of the goal, at least.
+    double silent_times_expected = 4;
+    double silent_part_of_goal = 0.7;
+    /// An engine that is late for its load isn't helped by reading the prompt
+    /// elsewhere.
+    double silent_goals_engine = 2.5;
+    /// The same between two events of a stream.
+    double silent_times_gap_goal = 3;
+    absl::Duration least_silent_gap = absl::Milliseconds(1200);
     /// Requests open at the same time at most.
     std::size_t most_open = 4000;
     std::partial_ordering operator<=>(const dispatch_settings&) const = default;
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -145,6 +145,21 @@
         end(*request, refusal::outcome_unknown);
 }
 
+void dispatcher::on(const call_silent& event)
+{
+    open_request* request = find(event.id, event.call);
+    if (request == nullptr || !may_repeat(*request) || !can_repeat(*request))
+        return;
+    if (server_state* server = server_of(*request))
+        server->note_failure(now_);
+    note(*request, "silent_call_given_up", true);
+    cancel(*request);
+    request->may_have_run = true;
+    const bool sent = place_again(*request);
+    if (!sent)
+        end(*request, refusal::outcome_unknown);
+}
+
 void dispatcher::on(const call_answered& event)
 {
     open_request* request = find(event.id, event.call);
@@ -265,13 +280,24 @@
         const auto found = requests_.find(id);
         assert(found != requests_.end());
         open_request& request = found->second;
-        if (request.call)
+        if (request.call) {
             request.may_have_run = true;
+            note_late(request);
+        }
         cancel(request);
         end(request, refusal::time_over);
     }
 }
 
+void dispatcher::note_late(const open_request& request)
+{
+    // An engine may be late for its load; a plain service that has not
+    // answered by the limit of the route hangs.
+    server_state* server = server_of(request);
+    if (server != nullptr && !request.is_engine && !request.call->is_read)
+        server->note_failure(now_);
+}
+
 void dispatcher::end(open_request& request, refusal cause)
 {
     const bool not_run = !request.may_have_run && !request.answer_begun;
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -75,6 +75,7 @@
     void on(const caller_left& event);
     void on(const call_not_run& event);
     void on(const call_broken& event);
+    void on(const call_silent& event);
     void on(const call_answered& event);
     void on(const call_failed& event);
     void on(const call_done& event);
@@ -88,6 +89,8 @@
     [[nodiscard]] routing::service_name choose_service(const routing::route&);
     /// Sends the request to a server, or ends it.
     void place(open_request& request, refusal without_server);
+    /// All bounds allow that it is sent once more.
+    [[nodiscard]] bool can_repeat(const open_request& request);
     /// Sends it once more when all bounds allow; false when not.
     [[nodiscard]] bool place_again(open_request& request);
     [[nodiscard]] bool may_repeat(const open_request& request) const;
@@ -98,9 +101,13 @@
     [[nodiscard]] static bool is_usable(const open_request& request,
                                         const server_state& server);
     void send(open_request& request, const server_view& view);
+    /// When silence is to be told, for work that may be sent once more.
+    void set_silence_limits(const open_request& request, double expected_ms,
+                            send_call& order) const;
     [[nodiscard]] service_pool& pool_of(const routing::service_name& name);
     void report_load();
     void set_cache_sizes();
+    void note_late(const open_request& request);
     void end(open_request& request, refusal cause);
     void close_call(open_request& request);
     void forget(core::request_id id);
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -58,11 +58,17 @@
     return request.route->is_idempotent && !request.answer_begun;
 }
 
+bool dispatcher::can_repeat(const open_request& request)
+{
+    return request.tried.size() < request.route->max_servers &&
+           request.ends_at - now_ >= settings_.least_time_for_repeat &&
+           choose_server(request) &&
+           budget_of(request.service).has_one(now_, instances_);
+}
+
 bool dispatcher::place_again(open_request& request)
 {
-    if (request.tried.size() >= request.route->max_servers)
-        return false;
-    if (request.ends_at - now_ < settings_.least_time_for_repeat)
+    if (!can_repeat(request))
         return false;
     const auto server = choose_server(request);
     if (!server || !budget_of(request.service).take(now_, instances_))
@@ -138,6 +144,22 @@
     return std::max(service->connection_limit / std::max(instances_, 1U), 2U);
 }
 
+void dispatcher::set_silence_limits(const open_request& request,
+                                    double expected_ms, send_call& order) const
+{
+    const auto& route = *request.route;
+    if (!may_repeat(request) || request.tried.size() >= route.max_servers)
+        return;
+    order.first_limit = std::max(
+        absl::Milliseconds(expected_ms * settings_.silent_times_expected),
+        route.goal * (request.is_engine ? settings_.silent_goals_engine
+                                        : settings_.silent_part_of_goal));
+    if (route.is_stream)
+        order.gap_limit =
+            std::max(settings_.least_silent_gap,
+                     route.gap_goal * settings_.silent_times_gap_goal);
+}
+
 void dispatcher::send(open_request& request, const server_view& view)
 {
     const auto& route = *request.route;
@@ -150,7 +172,10 @@
     call.tokens_to_read =
         expected_to_read(settings_.placement, request.facts.prompt, view);
     call.expected_ms =
-        expected_first_event(settings_.placement, view, call.tokens_to_read);
+        request.is_engine
+            ? expected_first_event(settings_.placement, view,
+                                   call.tokens_to_read)
+            : expected_plain_answer(settings_.placement, view, now_);
     server.note_sent(call.tokens_to_read);
     if (request.is_engine)
         server.cache().note_read(request.facts.prompt);
@@ -176,6 +201,7 @@
     order.is_stream = route.is_stream;
     order.resumable = route.is_stream && route.resumable;
     order.hold_errors = may_repeat(request);
+    set_silence_limits(request, call.expected_ms, order);
     note(request, "sent", false);
     out_->push_back(std::move(order));
     request.call = std::move(call);
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -95,6 +95,14 @@
     auto operator<=>(const call_broken&) const = default;
 };
 
+/// A call has brought nothing for as long as its order allows. It goes on.
+struct call_silent
+{
+    core::request_id id;
+    core::call_id call;
+    auto operator<=>(const call_silent&) const = default;
+};
+
 /// The first event of a stream, or the head of a plain answer, came.
 struct call_answered
 {
@@ -168,8 +176,9 @@
 };
 
 using event =
-    std::variant<arrival, caller_left, call_not_run, call_broken, call_answered,
-                 call_failed, call_done, routes_changed, servers_changed, fleet_changed, load_heard, tick>;
+    std::variant<arrival, caller_left, call_not_run, call_broken, call_silent,
+                 call_answered, call_failed, call_done, routes_changed,
+                 servers_changed, fleet_changed, load_heard, tick>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -26,13 +26,13 @@
            settings.ms_per_token_read * to_read;
 }
 
-double plain_cost(const placement_settings& settings,
-                  const placement_facts& facts, const server_view& view)
+/// Calls there for each slot.
+double plain_load(const server_view& view, absl::Time now)
 {
     const double slots = std::max(view.server.entry().slots, 1U);
-    const double calls = std::max(view.server.calls_there(facts.now),
-                                  view.server.own_calls() + view.other_calls);
-    return settings.plain_call_ms * calls / slots;
+    return std::max(view.server.calls_there(now),
+                    view.server.own_calls() + view.other_calls) /
+           slots;
 }
 
 double home_share(const placement_settings& settings, unsigned rank)
@@ -51,7 +51,8 @@
         const double warm_up =
             absl::ToDoubleMilliseconds(view.server.entry().warmup_left) / 2;
         if (!facts.is_engine)
-            return far + warm_up + plain_cost(settings, facts, view);
+            return far + warm_up +
+                   settings.plain_call_ms * plain_load(view, facts.now);
         return far + warm_up + engine_cost(settings, facts, view);
     };
 }
@@ -69,6 +70,12 @@
            settings.ms_per_running_call * calls;
 }
 
+double expected_plain_answer(const placement_settings& settings,
+                             const server_view& view, absl::Time now)
+{
+    return settings.plain_call_ms * std::max(1.0, plain_load(view, now));
+}
+
 std::uint32_t expected_to_read(const placement_settings& settings,
                                std::span<const prompt_part> prompt,
                                const server_view& view)
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -73,6 +73,11 @@
                                           const server_view& view,
                                           double tokens_to_read);
 
+/// Time to the answer that is expected of a plain service, in ms.
+[[nodiscard]] double expected_plain_answer(const placement_settings& settings,
+                                           const server_view& view,
+                                           absl::Time now);
+
 /// The tokens of `prompt` that the server probably has to read.
 [[nodiscard]] std::uint32_t
 expected_to_read(const placement_settings& settings,
--- a/oriolefall/dispatch/prompt_cache.cpp
+++ b/oriolefall/dispatch/prompt_cache.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/dispatch/prompt_cache.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace oriolefall::dispatch {
 
@@ -21,15 +22,15 @@
 void prompt_cache::note_read(std::span<const prompt_part> prompt)
 {
     // The first part is touched last: without it the others are of no use.
-    for (auto part = prompt.rbegin(); part != prompt.rend(); ++part) {
-        const auto found = places_.find(part->id);
+    for (const prompt_part& part : std::views::reverse(prompt)) {
+        const auto found = places_.find(part.id);
         if (found != places_.end()) {
             parts_.splice(parts_.begin(), parts_, found->second);
             continue;
         }
-        parts_.push_front(*part);
-        places_.emplace(part->id, parts_.begin());
-        held_ += part->tokens;
+        parts_.push_front(part);
+        places_.emplace(part.id, parts_.begin());
+        held_ += part.tokens;
     }
     shrink();
 }
--- a/oriolefall/dispatch/repeat_budget.cpp
+++ b/oriolefall/dispatch/repeat_budget.cpp
@@ -26,16 +26,21 @@
 }
 
 bool repeat_budget::take(absl::Time now, std::uint32_t instances)
+{
+    if (!has_one(now, instances))
+        return false;
+    repeats_.push_back(now);
+    return true;
+}
+
+bool repeat_budget::has_one(absl::Time now, std::uint32_t instances)
 {
     forget(now);
     const double share = settings_.extra / std::max(instances, 1U);
     const double allowed =
         settings_.used_share *
         (settings_.ratio * static_cast<double>(requests_.size()) + share);
-    if (static_cast<double>(repeats_.size() + 1) > allowed)
-        return false;
-    repeats_.push_back(now);
-    return true;
+    return static_cast<double>(repeats_.size() + 1) <= allowed;
 }
 
 void repeat_budget::forget(absl::Time now)
--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -20,8 +20,9 @@
     if (listing_)
         return {list_call{settings_.collection, list_after_, false},
                 not_before_};
-    return {watch_call{settings_.collection, revision_, settings_.watch_wait},
-            not_before_};
+    const absl::Duration wait =
+        away_ ? settings_.first_wait : settings_.watch_wait;
+    return {watch_call{settings_.collection, revision_, wait}, not_before_};
 }
 
 bool collection_follower::take(absl::Time now, const call_result& result)
@@ -121,6 +122,8 @@
         }
     }
     revision_ = std::max(revision_, changes.revision);
+    if (!changes.changes.empty())
+        not_before_ = now + settings_.gather_time;
     return changed;
 }
 
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -18,9 +18,14 @@
 struct follower_settings
 {
     std::string collection;
-    /// Longest wait of one watch. A watch that went silent is found out when
-    /// it is over.
-    absl::Duration watch_wait = absl::Milliseconds(2200);
+    /// Longest wait of one watch. Each call is paid for; a connection that went
+    /// silent is found out by probes long before.
+    absl::Duration watch_wait = absl::Seconds(6);
+    /// The first watch after the store was away: shows soon that it is back.
+    absl::Duration first_wait = absl::Milliseconds(500);
+    /// Pause after changes came, so that those that come together are told
+    /// together.
+    absl::Duration gather_time = absl::Milliseconds(250);
     absl::Duration first_backoff = absl::Milliseconds(100);
     absl::Duration longest_backoff = absl::Milliseconds(800);
     /// Objects that were removed while the store was away may be back until
--- a/oriolefall/follow/store_line.cpp
+++ b/oriolefall/follow/store_line.cpp
@@ -2,6 +2,7 @@
 
 #include "oriolefall/net/socket_options.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -12,6 +13,7 @@
 /// Lists come in pages of about 1 MB.
 constexpr std::uint64_t longest_answer = std::uint64_t{16} * 1024 * 1024;
 constexpr std::chrono::milliseconds ack_limit{1500};
+constexpr std::chrono::milliseconds connect_limit{700};
 constexpr unsigned http_1_1 = 11;
 
 } // namespace
@@ -36,11 +38,13 @@
     const bool is_kept = stream_.has_value();
     if (!is_kept)
         stream_.emplace(context_);
-    stream_->expires_after(request.limit);
+    limit_ = request.limit;
     if (is_kept) {
         send();
         return;
     }
+    // A watch may take long; finding out that nobody is there may not.
+    stream_->expires_after(std::min(connect_limit, limit_));
     buffer_.clear();
     error_code error;
     const auto address = asio::ip::make_address(store_.address, error);
@@ -65,6 +69,7 @@
 
 void store_line::send()
 {
+    stream_->expires_after(limit_);
     http::async_write(
         *stream_, request_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
--- a/oriolefall/follow/store_line.hpp
+++ b/oriolefall/follow/store_line.hpp
@@ -60,7 +60,7 @@
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> answer_;
     result_hook done_;
-    std::uint64_t call_ = 0;
+    std::chrono::milliseconds limit_{0};
 };
 
 } // namespace oriolefall::follow
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -24,7 +24,8 @@
                    surroundings surroundings)
     : id_(id), request_(std::move(request)),
       body_(std::make_shared<const std::string>(std::move(request_.body()))),
-      caller_(std::move(caller)), around_(std::move(surroundings))
+      caller_(std::move(caller)), around_(std::move(surroundings)),
+      silence_(around_.context)
 {
 }
 
@@ -37,6 +38,9 @@
     held_.clear();
     told_answered_ = false;
     splitter_ = event_splitter(splitter_.last_id());
+    sent_at_ = core::monotonic_now();
+    last_event_at_ = absl::InfiniteFuture();
+    watch_silence(order.first_limit);
     server_ = around_.servers.start(order, body_, hooks_of(order.call));
     if (server_ == nullptr)
         around_.tell(dispatch::call_not_run{
@@ -197,8 +201,8 @@
             begin_events();
         if (framing_.chunked)
             caller_->write(std::string(last_chunk));
-        around_.tell(dispatch::call_done{id_, call, splitter_.events(),
-                                         longest_gap_});
+        around_.tell(
+            dispatch::call_done{id_, call, splitter_.events(), longest_gap_});
         end(framing_.chunked);
         return;
     }
@@ -213,8 +217,7 @@
     } else if (framing_.chunked) {
         caller_->write(std::string(last_chunk));
     }
-    around_.tell(dispatch::call_done{id_, call, 0,
-                                     absl::ZeroDuration()});
+    around_.tell(dispatch::call_done{id_, call, 0, absl::ZeroDuration()});
     end(framing_.length || framing_.chunked);
 }
 
@@ -242,6 +245,38 @@
     around_.tell(dispatch::call_broken{id_, call, cause, begun_});
 }
 
+void exchange::watch_silence(absl::Duration wait)
+{
+    if (wait == absl::InfiniteDuration())
+        return;
+    silence_.expires_after(absl::ToChronoMilliseconds(wait) +
+                           std::chrono::milliseconds(1));
+    silence_.async_wait([weak = weak_from_this()](const error_code& stopped) {
+        const auto self = weak.lock();
+        if (!stopped && self)
+            self->on_silence_check();
+    });
+}
+
+void exchange::on_silence_check()
+{
+    if (over_ || !order_)
+        return;
+    const bool has_begun = last_event_at_ != absl::InfiniteFuture();
+    const absl::Time since = has_begun ? last_event_at_ : sent_at_;
+    const absl::Duration limit =
+        has_begun ? order_->gap_limit : order_->first_limit;
+    const absl::Duration silent = core::monotonic_now() - since;
+    if (silent < limit) {
+        watch_silence(limit - silent);
+        return;
+    }
+    watch_silence(limit);
+    // While the caller takes nothing, the silence is its own.
+    if (caller_->waiting_bytes() == 0)
+        around_.tell(dispatch::call_silent{id_, order_->call});
+}
+
 void exchange::begin_events()
 {
     framing_ = {std::nullopt, caller_->speaks_chunks()};
@@ -321,6 +356,7 @@
 {
     if (std::exchange(over_, true))
         return;
+    silence_.cancel();
     caller_->finish(keep);
     around_.over(id_);
 }
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -25,6 +25,7 @@
 public:
     struct surroundings
     {
+        asio::io_context& context;
         const forward_settings& settings;
         const protocol_hooks& protocol;
         server_connections& servers;
@@ -75,6 +76,9 @@
     void drop_call();
     void end(bool keep);
     void tell_broken(dispatch::broken_cause cause);
+    /// Tells when the call stays silent for too long.
+    void watch_silence(absl::Duration wait);
+    void on_silence_check();
 
     core::request_id id_;
     caller_request request_;
@@ -92,6 +96,8 @@
     /// Bytes of an answer have gone to the caller.
     bool begun_ = false;
     bool told_answered_ = false;
+    asio::steady_timer silence_;
+    absl::Time sent_at_ = absl::InfinitePast();
     absl::Time last_event_at_ = absl::InfiniteFuture();
     absl::Duration longest_gap_ = absl::ZeroDuration();
     bool over_ = false;
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -173,7 +173,7 @@
         open = std::make_shared<exchange>(
             id, std::move(request), caller.shared_from_this(),
             exchange::surroundings{
-                settings_, protocol_, servers_,
+                context_, settings_, protocol_, servers_,
                 [this](dispatch::event event) { tell(std::move(event)); },
                 [this, &open_slot = open, keep = caller.shared_from_this()](
                     core::request_id over) { forget(over, open_slot); }});
--- a/oriolefall/net/socket_options.cpp
+++ b/oriolefall/net/socket_options.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr int idle_before_probe_s = 2;
+constexpr int idle_before_probe_s = 1;
 constexpr int between_probes_s = 1;
-constexpr int lost_probes = 3;
+constexpr int lost_probes = 2;
 
 void set_tcp_option(tcp::socket& socket, int name, int value)
 {
--- a/oriolefall/net/socket_options.hpp
+++ b/oriolefall/net/socket_options.hpp
@@ -12,7 +12,8 @@
 void set_no_delay(tcp::socket& socket);
 /// Sent data that is not acknowledged for so long ends the connection.
 void set_ack_limit(tcp::socket& socket, std::chrono::milliseconds limit);
-/// Asks for a sign of life on idle connections every second after two.
+/// Asks for a sign of life on idle connections every second; after two without
+/// an answer the connection ends.
 void set_keep_alive(tcp::socket& socket);
 
 } // namespace oriolefall::net
--- a/oriolefall/observe/line_log.hpp
+++ b/oriolefall/observe/line_log.hpp
@@ -25,7 +25,7 @@
     /// Lines that wait for the writer at most.
     std::size_t waiting_lines = 2048;
     /// Lines of requests that went well, a second; more are thinned out.
-    std::uint32_t routine_per_second = 2000;
+    std::uint32_t routine_per_second = 20;
 };
 
 /// Writes JSON lines to a stream from a thread of its own. Writing never
--- a/oriolefall/router/page_duty.cpp
+++ b/oriolefall/router/page_duty.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::seconds idle_limit{20};
 constexpr std::uint32_t longest_head = 8192;
 constexpr int accept_queue = 256;
+/// Pause after a connection could not be accepted.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 } // namespace
 
@@ -118,9 +120,17 @@
         [this, &acceptor](const error_code& error, tcp::socket socket) {
             if (error == asio::error::operation_aborted)
                 return;
-            if (!error)
+            if (!error) {
                 std::make_shared<session>(std::move(socket), pages_)->read();
-            accept(acceptor);
+                accept(acceptor);
+                return;
+            }
+            const auto pause = std::make_shared<asio::steady_timer>(context_);
+            pause->expires_after(accept_pause);
+            pause->async_wait([this, &acceptor, pause](const error_code& stop) {
+                if (!stop)
+                    accept(acceptor);
+            });
         });
 }
 
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Events that one open request can have waiting at most.
-constexpr std::size_t events_per_request = 4;
+constexpr std::size_t events_per_request = 6;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_not_found = 404;
--- a/tests/dispatch/dispatcher_properties_test.cpp
+++ b/tests/dispatch/dispatcher_properties_test.cpp
@@ -113,7 +113,10 @@
             return;
         const send_call call = calls_.begin()->second;
         request& own = requests_[call.id.value()];
-        switch (*rc::gen::inRange(0, 5)) {
+        switch (*rc::gen::inRange(0, 6)) {
+        case 5:
+            world_.give(call_silent{call.id, call.call});
+            break;
         case 0:
             calls_.erase(call.call.value());
             world_.give(call_not_run{
@@ -133,8 +136,7 @@
             calls_.erase(call.call.value());
             ++own.may_have_run;
             if (call.hold_errors)
-                world_.give(
-                    call_failed{call.id, call.call, 500, std::nullopt});
+                world_.give(call_failed{call.id, call.call, 500, std::nullopt});
             else
                 finish(call, own);
             break;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -217,10 +217,10 @@
         other.arrive("stream", {{prompt, 9000}, {2000 + prompt, 50}});
         cr_assert_eq(one.last<send_call>()->server.value(),
                      other.last<send_call>()->server.value());
-        one.give(call_done{one.last<send_call>()->id,
-                           one.last<send_call>()->call, 1, {}});
-        other.give(call_done{other.last<send_call>()->id,
-                             other.last<send_call>()->call, 1, {}});
+        one.give(call_done{
+            one.last<send_call>()->id, one.last<send_call>()->call, 1, {}});
+        other.give(call_done{
+            other.last<send_call>()->id, other.last<send_call>()->call, 1, {}});
     }
 }
 
@@ -266,3 +266,41 @@
     world.arrive("safe");
     cr_assert_eq(world.last<send_call>()->server.value(), "d2");
 }
+
+Test(dispatcher, idempotent_work_at_a_silent_server_goes_elsewhere)
+{
+    usual_world world;
+    world.arrive("safe");
+    const send_call first = *world.last<send_call>();
+    cr_assert_lt(first.first_limit, absl::Seconds(1));
+    world.give(call_silent{first.id, first.call});
+    cr_assert_eq(world.last<cancel_call>()->call, first.call);
+    cr_assert_neq(world.last<send_call>()->server.value(),
+                  first.server.value());
+}
+
+Test(dispatcher, silence_alone_ends_no_answer)
+{
+    usual_world world({}, 1);
+    for (const std::string route : {"safe", "unsafe", "stream", "resumable"}) {
+        world.arrive(route);
+        const send_call sent = *world.last<send_call>();
+        cr_assert_eq(sent.first_limit, absl::InfiniteDuration());
+        world.give(call_silent{sent.id, sent.call});
+    }
+    cr_assert_eq(world.count<cancel_call>(), 0);
+    cr_assert_eq(world.count<refuse>(), 0);
+}
+
+Test(dispatcher, a_plain_server_that_answers_nothing_in_time_is_left_out)
+{
+    usual_world world;
+    world.set_servers({some_server("d1", "desk")});
+    for (int i = 0; i < 3; ++i) {
+        world.arrive("unsafe");
+        world.pass(absl::Milliseconds(10100));
+    }
+    world.set_servers({some_server("d1", "desk"), some_server("d2", "desk")});
+    world.arrive("unsafe");
+    cr_assert_eq(world.last<send_call>()->server.value(), "d2");
+}
--- a/tests/follow/collection_follower_test.cpp
+++ b/tests/follow/collection_follower_test.cpp
@@ -43,8 +43,7 @@
 Test(collection_follower, reads_all_pages_and_watches_from_the_first)
 {
     collection_follower follower(settings());
-    cr_assert_not(
-        follower.take(start, list_page{{object("a", 1)}, true, 10}));
+    cr_assert_not(follower.take(start, list_page{{object("a", 1)}, true, 10}));
     const auto next = follower.next_call().first;
     cr_assert_eq(std::get<list_call>(next).after, "a");
     cr_assert_not(follower.is_known());
@@ -127,3 +126,21 @@
     follower.take(start, change_list{{}, 11});
     cr_assert_leq(follower.next_call().second, start);
 }
+
+Test(collection_follower, gathers_changes_that_come_together)
+{
+    auto follower = followed({});
+    follower.take(start, change_list{{{object("a", 11), false}}, 11});
+    cr_assert_eq(follower.next_call().second, start + settings().gather_time);
+}
+
+Test(collection_follower, looks_soon_whether_the_store_is_back)
+{
+    auto follower = followed({});
+    follower.take(start, call_failed{"timeout"});
+    const auto first = follower.next_call().first;
+    cr_assert_eq(watch_of(first)->wait, settings().first_wait);
+    follower.take(start, change_list{{}, 11});
+    const auto next = follower.next_call().first;
+    cr_assert_eq(watch_of(next)->wait, settings().watch_wait);
+}
--- /dev/null
+++ b/tests/follow/store_line_test.cpp
@@ -0,0 +1,80 @@
+#include "oriolefall/follow/store_line.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <optional>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using namespace oriolefall::follow;
+
+namespace {
+
+/// An address where connections hang: its queue is full and nobody accepts.
+class silent_address
+{
+public:
+    silent_address() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        auto* raw = reinterpret_cast<sockaddr*>(&address);
+        ::bind(listener_, raw, size);
+        ::listen(listener_, 0);
+        ::getsockname(listener_, raw, &size);
+        port_ = ntohs(address.sin_port);
+        for (int& filler : fillers_) {
+            filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            ::connect(filler, raw, size);
+        }
+    }
+    silent_address(const silent_address&) = delete;
+    silent_address& operator=(const silent_address&) = delete;
+    ~silent_address()
+    {
+        for (const int filler : fillers_)
+            ::close(filler);
+        ::close(listener_);
+    }
+
+    [[nodiscard]] core::endpoint endpoint() const
+    {
+        return {"127.0.0.1", port_};
+    }
+
+private:
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::array<int, 4> fillers_{};
+};
+
+} // namespace
+
+// A watch may wait for many seconds; a connection that can't be opened must
+// not be waited for as long.
+Test(store_line, gives_up_connecting_long_before_the_limit_of_the_call)
+{
+    const silent_address store;
+    asio::io_context context;
+    const auto line = std::make_shared<store_line>(context, store.endpoint());
+    std::optional<bool> failed;
+    store_request request;
+    request.target = "/";
+    request.limit = std::chrono::minutes(5);
+    line->call(request, [&](store_result result) {
+        failed = std::holds_alternative<store_silent>(result);
+        context.stop();
+    });
+    asio::steady_timer end(context, std::chrono::seconds(30));
+    end.async_wait([&](const error_code&) { context.stop(); });
+    context.run();
+    cr_assert(failed.value_or(false));
+}
