Wait for engines that have not begun; take the load heard as it is

Cause: in a fleet of 76 an instance hears 6 to 8 others; projecting one prompt heard to 75 instances put 200,000 tokens before an engine that had 17,000, and prompts left their homes. Calls given up before the first event were queued last at the next engine.

--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -37,9 +37,6 @@
     /// the time that was expected, and this part of the goal, at least.
     double silent_times_expected = 4;
     double silent_part_of_goal = 0.7;
-    /// An engine that is late for its load isn't helped by reading the prompt
-    /// elsewhere.
-    double silent_goals_engine = 2.5;
     /// The same between two events of a stream.
     double silent_times_gap_goal = 3;
     absl::Duration least_silent_gap = absl::Milliseconds(1200);
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -264,8 +264,7 @@
 
 void dispatcher::on(const fleet_changed& event)
 {
-    instances_ = std::max(event.sharing, settings_.least_instances);
-    others_.set_instances(event.live);
+    instances_ = std::max(event.instances, settings_.least_instances);
 }
 
 void dispatcher::on(const load_heard& event)
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -150,10 +150,12 @@
     const auto& route = *request.route;
     if (!may_repeat(request) || request.tried.size() >= route.max_servers)
         return;
-    order.first_limit = std::max(
-        absl::Milliseconds(expected_ms * settings_.silent_times_expected),
-        route.goal * (request.is_engine ? settings_.silent_goals_engine
-                                        : settings_.silent_part_of_goal));
+    // An engine that has not begun waits for its load most likely: elsewhere
+    // the request would be last in the queue, and its prompt read once more.
+    if (!request.is_engine)
+        order.first_limit = std::max(
+            absl::Milliseconds(expected_ms * settings_.silent_times_expected),
+            route.goal * settings_.silent_part_of_goal);
     if (route.is_stream)
         order.gap_limit =
             std::max(settings_.least_silent_gap,
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -151,13 +151,10 @@
     std::strong_ordering operator<=>(const servers_changed&) const = default;
 };
 
-/// How many instances there are.
+/// How many instances share budgets and connection limits.
 struct fleet_changed
 {
-    /// That live now.
-    std::uint32_t live = 1;
-    /// That may spend a share of budgets and connection limits.
-    std::uint32_t sharing = 1;
+    std::uint32_t instances = 1;
     auto operator<=>(const fleet_changed&) const = default;
 };
 
--- a/oriolefall/dispatch/fleet_load.cpp
+++ b/oriolefall/dispatch/fleet_load.cpp
@@ -18,12 +18,6 @@
     add_up();
 }
 
-void fleet_load::set_instances(std::uint32_t instances)
-{
-    instances_ = std::max(instances, 1U);
-    add_up();
-}
-
 void fleet_load::refresh(absl::Time now)
 {
     const auto dropped = std::erase_if(reports_, [now](const auto& each) {
@@ -43,16 +37,11 @@
 void fleet_load::add_up()
 {
     servers_.clear();
-    if (reports_.empty())
-        return;
-    const double scale =
-        std::max(1.0, static_cast<double>(instances_ - 1) /
-                          static_cast<double>(reports_.size()));
     for (const auto& [from, each] : reports_) {
         for (const server_share& share : each.report.servers) {
             sum& total = servers_[share.server];
-            total.calls += scale * share.calls;
-            total.backlog_tokens += scale * share.backlog_tokens;
+            total.calls += share.calls;
+            total.backlog_tokens += share.backlog_tokens;
         }
     }
 }
--- a/oriolefall/dispatch/fleet_load.hpp
+++ b/oriolefall/dispatch/fleet_load.hpp
@@ -11,8 +11,9 @@
 
 namespace oriolefall::dispatch {
 
-/// Load of the other instances, summed from their reports. Where only some
-/// of them are heard, they stand for all. One thread.
+/// Load of the other instances, summed from their reports. In a large fleet
+/// only linked instances are heard; what a few of them have under way is not
+/// projected to all, as the error would be larger than the load. One thread.
 class fleet_load
 {
 public:
@@ -25,8 +26,6 @@
 
     void hear(absl::Time now, const core::instance_id& from,
               const load_report& report);
-    /// Instances that live, this one among them.
-    void set_instances(std::uint32_t instances);
     /// Forgets reports that are too old. Before the sums are asked for.
     void refresh(absl::Time now);
 
@@ -43,7 +42,6 @@
 
     std::map<core::instance_id, heard> reports_;
     absl::flat_hash_map<core::backend_server_id, sum> servers_;
-    std::uint32_t instances_ = 1;
 };
 
 } // namespace oriolefall::dispatch
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -290,6 +290,8 @@
     if (events.empty())
         return;
     const absl::Time now = core::monotonic_now();
+    if (last_event_at_ == absl::InfiniteFuture())
+        watch_silence(order_->gap_limit);
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
     last_event_at_ = now;
     if (!begun_)
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -223,7 +223,7 @@
     // Instances that can't be heard may still spend their share: the number
     // of those that share never falls.
     most_instances_ = std::max(most_instances_, there);
-    if (!decide_->tell(dispatch::fleet_changed{there, most_instances_}))
+    if (!decide_->tell(dispatch::fleet_changed{most_instances_}))
         log_.write("fleet_size_not_told", {});
 }
 
