Put the workspace's priority before the route's, not in its place

Ruled out: the route's priority alone (TIER kept too, but the workspace's would mean nothing). Test: the_workspace_goes_before_the_route_and_does_not_hide_it.

--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -98,6 +98,9 @@
     choose_server(const open_request& request);
     [[nodiscard]] bool is_candidate(const open_request& request,
                                     const server_state& server) const;
+    /// The priority of the workspace goes first, then that of the route: what
+    /// a workspace asks for keeps its order among the workspace's requests.
+    [[nodiscard]] static std::uint32_t urgency_of(const open_request& request);
     [[nodiscard]] static bool is_usable(const open_request& request,
                                         const server_state& server);
     void send(open_request& request, const server_view& view);
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -12,6 +12,8 @@
 
 /// Urgency that a server understands at most.
 constexpr std::uint32_t least_urgent = 9;
+/// Priorities of routes within one priority of workspaces.
+constexpr std::uint32_t route_priorities = 3;
 
 bool contains(const std::vector<core::backend_server_id>& ids,
               const core::backend_server_id& id)
@@ -94,6 +96,16 @@
            !contains(request.unreachable, entry.id);
 }
 
+std::uint32_t dispatcher::urgency_of(const open_request& request)
+{
+    const std::uint32_t by_route =
+        std::min(request.route->priority, route_priorities - 1);
+    const std::uint32_t by_workspace =
+        request.workspace != nullptr ? request.workspace->priority.value_or(0)
+                                     : 0;
+    return std::min(by_workspace * route_priorities + by_route, least_urgent);
+}
+
 std::optional<server_view>
 dispatcher::choose_server(const open_request& request)
 {
@@ -191,13 +203,8 @@
     order.connection_limit = connection_share(request);
     if (request.workspace != nullptr)
         order.workspace = request.workspace->name;
-    if (request.is_engine) {
-        const auto own = request.workspace != nullptr
-                             ? request.workspace->priority
-                             : std::nullopt;
-        order.priority = static_cast<int>(
-            std::min(own.value_or(route.priority), least_urgent));
-    }
+    if (request.is_engine)
+        order.priority = static_cast<int>(urgency_of(request));
     order.stop_at = request.facts.received +
                     std::min(route.time_limit, request.facts.patience);
     order.is_stream = route.is_stream;
