--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -16,6 +16,7 @@
     made.targets = {{routing::service_name(service), 1}};
     made.time_limit = absl::Seconds(10);
     made.goal = absl::Seconds(1);
+    made.gap_goal = absl::Milliseconds(300);
     made.max_servers = max_servers;
     return made;
 }
