Choose the server of a repeat once

Cause: found on reading: a repeat ran the whole placement twice, one after a silent call three times, and the budget had a look beside its taking. Change: choose_for_repeat holds the bounds, the choice and the budget; the ending that could not be reached is gone.

--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -148,16 +148,17 @@
 void dispatcher::on(const call_silent& event)
 {
     open_request* request = find(event.id, event.call);
-    if (request == nullptr || !may_repeat(*request) || !can_repeat(*request))
+    if (request == nullptr || !may_repeat(*request))
+        return;
+    const auto next = choose_for_repeat(*request);
+    if (!next)
         return;
     if (server_state* server = server_of(*request))
         server->note_failure(now_);
     note(*request, "silent_call_given_up", true);
     cancel(*request);
     request->may_have_run = true;
-    const bool sent = place_again(*request);
-    if (!sent)
-        end(*request, refusal::outcome_unknown);
+    send(*request, *next);
 }
 
 void dispatcher::on(const call_answered& event)
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -89,8 +89,10 @@
     [[nodiscard]] routing::service_name choose_service(const routing::route&);
     /// Sends the request to a server, or ends it.
     void place(open_request& request, refusal without_server);
-    /// All bounds allow that it is sent once more.
-    [[nodiscard]] bool can_repeat(const open_request& request);
+    /// The server for one more call, taken from the budget; nothing when a
+    /// bound forbids it.
+    [[nodiscard]] std::optional<server_view>
+    choose_for_repeat(const open_request& request);
     /// Sends it once more when all bounds allow; false when not.
     [[nodiscard]] bool place_again(open_request& request);
     [[nodiscard]] bool may_repeat(const open_request& request) const;
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -60,20 +60,22 @@
     return request.route->is_idempotent && !request.answer_begun;
 }
 
-bool dispatcher::can_repeat(const open_request& request)
+std::optional<server_view>
+dispatcher::choose_for_repeat(const open_request& request)
 {
-    return request.tried.size() < request.route->max_servers &&
-           request.ends_at - now_ >= settings_.least_time_for_repeat &&
-           choose_server(request) &&
-           budget_of(request.service).has_one(now_, instances_);
+    if (request.tried.size() >= request.route->max_servers ||
+        request.ends_at - now_ < settings_.least_time_for_repeat)
+        return std::nullopt;
+    auto server = choose_server(request);
+    if (!server || !budget_of(request.service).take(now_, instances_))
+        return std::nullopt;
+    return server;
 }
 
 bool dispatcher::place_again(open_request& request)
 {
-    if (!can_repeat(request))
-        return false;
-    const auto server = choose_server(request);
-    if (!server || !budget_of(request.service).take(now_, instances_))
+    const auto server = choose_for_repeat(request);
+    if (!server)
         return false;
     send(request, *server);
     return true;
--- a/oriolefall/dispatch/repeat_budget.cpp
+++ b/oriolefall/dispatch/repeat_budget.cpp
@@ -26,21 +26,16 @@
 }
 
 bool repeat_budget::take(absl::Time now, std::uint32_t instances)
-{
-    if (!has_one(now, instances))
-        return false;
-    repeats_.push_back(now);
-    return true;
-}
-
-bool repeat_budget::has_one(absl::Time now, std::uint32_t instances)
 {
     forget(now);
     const double share = settings_.extra / std::max(instances, 1U);
     const double allowed =
         settings_.used_share *
         (settings_.ratio * static_cast<double>(requests_.size()) + share);
-    return static_cast<double>(repeats_.size() + 1) <= allowed;
+    if (static_cast<double>(repeats_.size() + 1) > allowed)
+        return false;
+    repeats_.push_back(now);
+    return true;
 }
 
 void repeat_budget::forget(absl::Time now)
--- a/oriolefall/dispatch/repeat_budget.hpp
+++ b/oriolefall/dispatch/repeat_budget.hpp
@@ -35,7 +35,6 @@
     explicit repeat_budget(const repeat_budget_settings& settings);
 
     void note_request(absl::Time now);
-    [[nodiscard]] bool has_one(absl::Time now, std::uint32_t instances);
     /// Takes one repeat of the budget; false when nothing is left.
     [[nodiscard]] bool take(absl::Time now, std::uint32_t instances);
 
