A fault soak of our own: real instances, disturbed from outside

Runs oriolefall instance as processes before stand-ins of the users' store, backend servers and callers, with proxies on the links to the store, to the servers and from the callers.

--- a/bench/child_process.cpp
+++ b/bench/child_process.cpp
@@ -34,16 +34,17 @@
 class spawn_setup
 {
 public:
-    spawn_setup(int output, const std::string& log_path)
+    spawn_setup(int output, const child_command& command)
     {
         posix_spawn_file_actions_init(&files_);
         posix_spawnattr_init(&attributes_);
         posix_spawn_file_actions_addopen(&files_, STDIN_FILENO, "/dev/null",
                                          O_RDONLY, 0);
-        posix_spawn_file_actions_adddup2(&files_, output, STDOUT_FILENO);
-        posix_spawn_file_actions_addopen(
-            &files_, STDERR_FILENO, log_path.c_str(),
-            O_WRONLY | O_CREAT | O_APPEND, log_mode);
+        if (command.output_path.empty())
+            posix_spawn_file_actions_adddup2(&files_, output, STDOUT_FILENO);
+        else
+            append_to(command.output_path, STDOUT_FILENO);
+        append_to(command.log_path, STDERR_FILENO);
         sigset_t none;
         sigemptyset(&none);
         posix_spawnattr_setsigmask(&attributes_, &none);
@@ -71,6 +72,13 @@
     }
 
 private:
+    void append_to(const std::string& path, int file)
+    {
+        posix_spawn_file_actions_addopen(&files_, file, path.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND,
+                                         log_mode);
+    }
+
     posix_spawn_file_actions_t files_{};
     posix_spawnattr_t attributes_{};
 };
@@ -106,7 +114,7 @@
     output_ = ends[0];
     std::vector<std::string> words = tie_to_parent;
     std::ranges::copy(command.words, std::back_inserter(words));
-    pid_ = spawn_setup(ends[1], command.log_path).spawn(std::move(words));
+    pid_ = spawn_setup(ends[1], command).spawn(std::move(words));
     ::close(ends[1]);
 }
 
--- a/bench/child_process.hpp
+++ b/bench/child_process.hpp
@@ -22,6 +22,9 @@
     std::vector<std::string> words;
     /// File that takes its standard error, added at the end.
     std::string log_path;
+    /// File that takes its standard output, added at the end; when empty, the
+    /// first line is read by `await_port`.
+    std::string output_path;
     auto operator<=>(const child_command&) const = default;
 };
 
--- a/bench/local_fleet.cpp
+++ b/bench/local_fleet.cpp
@@ -178,7 +178,7 @@
         (is_instance ? "/oriolefall" : "/oriolefall-standins");
     words.insert(words.begin(), program);
     return std::make_unique<child_process>(
-        child_command{std::move(words), folder_ + "/" + name + ".log"});
+        child_command{std::move(words), folder_ + "/" + name + ".log", {}});
 }
 
 std::string own_folder()
--- /dev/null
+++ b/tests/adapter/soak/store_server.cpp
@@ -0,0 +1,284 @@
+#include "tests/adapter/soak/store_server.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace oriolefall::soak {
+
+namespace {
+
+constexpr std::size_t page_items = 4;
+constexpr milliseconds answer_time{4};
+constexpr milliseconds late_write_time{2500};
+constexpr milliseconds silence_step{200};
+constexpr unsigned http_1_1 = 11;
+const std::string objects_path = "/objects/";
+
+std::string parameter(const std::string& query, const std::string& name)
+{
+    const auto at = ("&" + query).find("&" + name + "=");
+    if (at == std::string::npos)
+        return {};
+    const auto begin = at + name.size() + 1;
+    return query.substr(begin, query.find('&', begin) - begin);
+}
+
+std::uint64_t number(const std::string& text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+http::response<http::string_body> make_answer(http::status status,
+                                              const nlohmann::json& body)
+{
+    http::response<http::string_body> made(status, http_1_1);
+    made.set(http::field::content_type, "application/json");
+    made.body() = body.dump();
+    made.prepare_payload();
+    return made;
+}
+
+} // namespace
+
+store_server::store_server(asio::io_context& context)
+    : context_(context),
+      acceptor_(context, {asio::ip::address_v4::loopback(), 0})
+{
+    asio::co_spawn(context_, accept(), asio::detached);
+}
+
+std::uint16_t store_server::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+std::uint64_t store_server::put(const std::string& kind,
+                                const std::string& name, const json& value)
+{
+    json& object = objects_[kind][name];
+    ++revision_;
+    const json created = object.is_null()
+                             ? json(revision_)
+                             : object["metadata"].value("created", json(0));
+    object = {{"metadata",
+               {{"name", name},
+                {"revision", revision_},
+                {"created", created},
+                {"finalizers", json::array()},
+                {"deletionPending", false}}},
+              {"spec", value},
+              {"status", nullptr}};
+    note(kind, object, false);
+    return revision_;
+}
+
+void store_server::erase(const std::string& kind, const std::string& name)
+{
+    auto& objects = objects_[kind];
+    const auto found = objects.find(name);
+    if (found == objects.end())
+        return;
+    ++revision_;
+    json object = std::move(found->second);
+    objects.erase(found);
+    object["metadata"]["revision"] = revision_;
+    note(kind, object, true);
+}
+
+void store_server::set_fault(store_fault fault)
+{
+    fault_ = fault;
+    wake();
+}
+
+void store_server::forget_history()
+{
+    history_.clear();
+    history_from_ = revision_;
+    wake();
+}
+
+void store_server::wake()
+{
+    for (asio::steady_timer* each : waiting_)
+        each->cancel();
+}
+
+void store_server::note(const std::string& kind, const json& object,
+                        bool deleted)
+{
+    history_.push_back(
+        {revision_, kind, {{"object", object}, {"deleted", deleted}}});
+    wake();
+}
+
+task<void> store_server::accept()
+{
+    while (true) {
+        error_code error;
+        tcp::socket socket = co_await acceptor_.async_accept(into(error));
+        if (error)
+            co_return;
+        asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+task<void> store_server::serve(tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    while (true) {
+        request asked;
+        error_code error;
+        co_await http::async_read(socket, buffer, asked, into(error));
+        if (error)
+            co_return;
+        std::optional<response> made = co_await answer(asked);
+        if (!made)
+            co_return;
+        co_await http::async_write(socket, *made, into(error));
+        if (error)
+            co_return;
+    }
+}
+
+task<std::optional<store_server::response>>
+store_server::answer(const request& asked)
+{
+    co_await pause(answer_time);
+    const std::string target(asked.target());
+    const auto mark = target.find('?');
+    const std::string path = target.substr(0, mark);
+    const std::string query =
+        mark == std::string::npos ? "" : target.substr(mark + 1);
+    if (!path.starts_with(objects_path))
+        co_return make_answer(http::status::not_found, {});
+    const std::string rest = path.substr(objects_path.size());
+    const std::string kind = rest.substr(0, rest.find('/'));
+    const std::string name =
+        rest.size() > kind.size() ? rest.substr(kind.size() + 1) : "";
+    const bool is_read = asked.method() == http::verb::get;
+    if (fault_ == store_fault::resets)
+        co_return std::nullopt;
+    if (fault_ == store_fault::refuses)
+        co_return make_answer(http::status::service_unavailable, {});
+    if (fault_ == store_fault::too_many)
+        co_return make_answer(http::status::too_many_requests, {});
+    if (fault_ == store_fault::late_writes && !is_read)
+        asio::co_spawn(context_, write_late(asked, kind, name), asio::detached);
+    const bool loses_answer = fault_ == store_fault::silent ||
+                              (fault_ == store_fault::late_writes && !is_read);
+    if (loses_answer) {
+        // A connection on which an answer is lost says nothing further.
+        while (co_await pause(silence_step * 50)) {
+        }
+        co_return std::nullopt;
+    }
+    if (is_read) {
+        response made = co_await read(kind, query);
+        if (fault_ == store_fault::silent)
+            while (co_await pause(silence_step * 50)) {
+            }
+        co_return made;
+    }
+    co_return write(asked, kind, name);
+}
+
+task<store_server::response> store_server::read(const std::string& kind,
+                                                const std::string& query)
+{
+    const std::string from = parameter(query, "watchFromRev");
+    if (from.empty())
+        co_return list(kind, parameter(query, "after"));
+    const milliseconds wait(number(parameter(query, "waitMs")));
+    response made = co_await watch(kind, number(from), wait);
+    co_return made;
+}
+
+store_server::response store_server::list(const std::string& kind,
+                                          const std::string& after) const
+{
+    json items = json::array();
+    bool has_more = false;
+    const auto found = objects_.find(kind);
+    if (found != objects_.end()) {
+        const auto& objects = found->second;
+        auto each =
+            after.empty() ? objects.begin() : objects.upper_bound(after);
+        for (; each != objects.end(); ++each) {
+            has_more = items.size() == page_items;
+            if (has_more)
+                break;
+            items.push_back(each->second);
+        }
+    }
+    return make_answer(
+        http::status::ok,
+        {{"items", items}, {"hasMore", has_more}, {"at", revision_}});
+}
+
+task<store_server::response> store_server::watch(const std::string& kind,
+                                                 std::uint64_t from,
+                                                 milliseconds wait)
+{
+    const auto until = clock::now() + wait;
+    json events = events_since(kind, from);
+    while (events.empty() && from >= history_from_ && clock::now() < until &&
+           fault_ == store_fault::none) {
+        asio::steady_timer timer(context_, until);
+        waiting_.insert(&timer);
+        error_code cancelled;
+        co_await timer.async_wait(into(cancelled));
+        waiting_.erase(&timer);
+        events = events_since(kind, from);
+    }
+    if (from < history_from_)
+        co_return make_answer(http::status::gone, {});
+    co_return make_answer(http::status::ok,
+                          {{"events", events}, {"at", revision_}});
+}
+
+nlohmann::json store_server::events_since(const std::string& kind,
+                                          std::uint64_t from) const
+{
+    json events = json::array();
+    for (const change& each : history_)
+        if (each.revision > from && each.kind == kind)
+            events.push_back(each.event);
+    return events;
+}
+
+store_server::response store_server::write(const request& asked,
+                                           const std::string& kind,
+                                           const std::string& name)
+{
+    const json given = json::parse(asked.body(), nullptr, false);
+    auto& objects = objects_[kind];
+    if (asked.method() == http::verb::delete_) {
+        if (!objects.contains(name))
+            return make_answer(http::status::not_found, {});
+        erase(kind, name);
+        return make_answer(http::status::ok, {});
+    }
+    if (!given.is_object() || !given.contains("metadata"))
+        return make_answer(http::status::bad_request, {});
+    const bool creates = asked.method() == http::verb::post;
+    const std::string own =
+        creates ? given["metadata"].value("name", "") : name;
+    if (creates == objects.contains(own))
+        return make_answer(
+            creates ? http::status::conflict : http::status::not_found, {});
+    put(kind, own, given["spec"]);
+    return make_answer(http::status::ok, objects[own]);
+}
+
+task<void> store_server::write_late(request asked, std::string kind,
+                                    std::string name)
+{
+    co_await pause(late_write_time);
+    write(asked, kind, name);
+}
+
+} // namespace oriolefall::soak
