Log each decision with what it rested on; histograms; explain by logs

Cause: an engineer with only the logs could not follow a failed request. Lines of 'sent' were thinned out without regard to how the request ended, ejections of servers and lost peers were not logged, nothing told how many lines were left out, and metrics were five counters.

- dispatch::decision_note is a value with the inputs (settings version, server, calls there, tokens to read, time expected); the text is made when it is written. server_note: a server left out for failures or taken back.
- router::request_log writes whole paths: directly up to 60 requests a second, beyond that only of requests that failed or had a second call, and tells how many were left out.
Lines name their instance.
- router::router_metrics: counters by outcome and cause, gauges, three latency histograms, by prometheus-cpp (core library only: pages are served by our own duty).
- Objects of instances that died for good are removed by the first live one after 10 minutes; one that lives writes its own again.
The number that shares the budget of repeats is the peak of the last 30 to 60 minutes, not of all time.
- Kept connections end a second before the server's own limit: the margin was a setting that nothing read.
Lists of instances after the second one may be stale, at a tenth of the price.
- One function opens acceptors.
Removed as unused: send_call::resumable, arrival::resumes, arrival::max_output_tokens (with its line in a codec test: the field went), memory_mib, four names of the platform.

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_DISPATCH_ACTION_HPP
 
 #include "oriolefall/core/ids.hpp"
+#include "oriolefall/dispatch/decision_note.hpp"
 #include "oriolefall/dispatch/event.hpp"
 
 #include <absl/time/time.h>
@@ -35,8 +36,6 @@
     absl::Duration gap_limit = absl::InfiniteDuration();
     /// An answer with an error status is held back for a decision.
     bool hold_errors = false;
-    /// A stream that breaks is offered for another call.
-    bool resumable = false;
     bool is_stream = false;
     std::strong_ordering operator<=>(const send_call&) const = default;
 };
@@ -94,20 +93,8 @@
     auto operator<=>(const tell_load&) const = default;
 };
 
-/// One decision for the log.
-struct decision_note
-{
-    core::request_id id;
-    std::string caller_id;
-    std::string outcome;
-    std::string inputs;
-    /// Not thinned out under load.
-    bool is_failure = false;
-    auto operator<=>(const decision_note&) const = default;
-};
-
 using action = std::variant<send_call, cancel_call, pass_failure, refuse,
-                            tell_load, decision_note>;
+                            tell_load, decision_note, server_note>;
 
 } // namespace oriolefall::dispatch
 
--- /dev/null
+++ b/oriolefall/dispatch/decision_note.cpp
@@ -0,0 +1,25 @@
+#include "oriolefall/dispatch/decision_note.hpp"
+
+#include <array>
+
+namespace oriolefall::dispatch {
+
+std::string_view to_string(decision value)
+{
+    static constexpr std::array<std::string_view, 9> names{
+        "sent",     "not_run",        "broken",      "silent", "failed",
+        "answered", "passed_failure", "caller_left", "refused"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+bool ends_request(decision value)
+{
+    return value >= decision::answered;
+}
+
+bool is_failure(decision value)
+{
+    return value == decision::passed_failure || value == decision::refused;
+}
+
+} // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -51,7 +51,7 @@
     request.facts = event;
     request.table = table_;
     if (const auto cause = refuse_at_once(request)) {
-        note(request, std::string(to_string(*cause)), true);
+        note_refused(request, *cause);
         const bool is_promise =
             *cause != refusal::unknown_route && *cause != refusal::unknown_key;
         out_->push_back(
@@ -98,7 +98,7 @@
     const auto found = requests_.find(event.id.value());
     if (found == requests_.end())
         return;
-    note(found->second, "caller_left", false);
+    note(found->second, decision::caller_left);
     cancel(found->second);
     forget(event.id);
 }
@@ -109,6 +109,7 @@
     if (request == nullptr)
         return;
     note_load(*request, event.load);
+    note(*request, decision::not_run, to_string(event.cause));
     server_state* server = server_of(*request);
     const auto server_id = request->call->server;
     close_call(*request);
@@ -121,9 +122,9 @@
     if (server != nullptr) {
         if (event.cause == not_run_cause::not_connected ||
             event.cause == not_run_cause::wrong_server)
-            server->note_unreachable(now_);
+            judge(*server, &server_state::note_unreachable);
         else if (event.cause == not_run_cause::refused && !event.load)
-            server->note_failure(now_);
+            judge(*server, &server_state::note_failure);
     }
     if (!was_sent)
         place(*request, refusal::no_server);
@@ -136,8 +137,9 @@
     open_request* request = find(event.id, event.call);
     if (request == nullptr)
         return;
+    note(*request, decision::broken, to_string(event.cause));
     if (server_state* server = server_of(*request))
-        server->note_failure(now_);
+        judge(*server, &server_state::note_failure);
     close_call(*request);
     request->may_have_run = true;
     request->answer_begun = request->answer_begun || event.answer_begun;
@@ -154,8 +156,8 @@
     if (!next)
         return;
     if (server_state* server = server_of(*request))
-        server->note_failure(now_);
-    note(*request, "silent_call_given_up", true);
+        judge(*server, &server_state::note_failure);
+    note(*request, decision::silent);
     cancel(*request);
     request->may_have_run = true;
     send(*request, *next);
@@ -176,7 +178,7 @@
                 request->call->expected_ms,
                 absl::ToDoubleMilliseconds(now_ - request->call->sent_at));
         if (event.status < first_server_error)
-            server->note_success(now_);
+            judge(*server, &server_state::note_success);
     }
     request->call->answered_at = now_;
     request->answer_begun = true;
@@ -188,14 +190,15 @@
     if (request == nullptr)
         return;
     note_load(*request, event.load);
+    note(*request, decision::failed, {}, event.status);
     if (server_state* server = server_of(*request))
-        server->note_failure(now_);
+        judge(*server, &server_state::note_failure);
     const open_call call = *request->call;
     close_call(*request);
     request->may_have_run = true;
     if (may_repeat(*request) && place_again(*request))
         return;
-    note(*request, "passed_failure", true);
+    note(*request, decision::passed_failure, {}, event.status);
     out_->push_back(pass_failure{event.id, call.id});
     forget(event.id);
 }
@@ -295,13 +298,13 @@
     // answered by the limit of the route hangs.
     server_state* server = server_of(request);
     if (server != nullptr && !request.is_engine && !request.call->is_read)
-        server->note_failure(now_);
+        judge(*server, &server_state::note_failure);
 }
 
 void dispatcher::end(open_request& request, refusal cause)
 {
     const bool not_run = !request.may_have_run && !request.answer_begun;
-    note(request, std::string(to_string(cause)), true);
+    note_refused(request, cause);
     out_->push_back(refuse{request.facts.id, cause, not_run,
                            not_run ? come_back(cause) : absl::ZeroDuration()});
     forget(request.facts.id);
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace oriolefall::dispatch {
@@ -124,9 +125,18 @@
     [[nodiscard]] repeat_budget& budget_of(const routing::service_name& name);
     [[nodiscard]] std::uint32_t connection_share(const open_request&) const;
     [[nodiscard]] absl::Duration come_back(refusal cause);
+    /// What the log gets of a request, with what is known of it now.
+    [[nodiscard]] decision_note describe(const open_request& request,
+                                         decision what) const;
+    void note(const open_request& request, decision what,
+              std::string_view cause = {}, int status = 0);
+    void note_sent(const open_request& request, const server_view& view);
     void note_answer(const open_request& request, const call_done& event);
-    void note(const open_request& request, std::string outcome,
-              bool is_failure);
+    void note_refused(const open_request& request, refusal cause);
+    /// Lets the server take note of how a call went, and logs it when the
+    /// server is left out or taken back for it.
+    void judge(server_state& server,
+               void (server_state::*taking_note)(absl::Time));
 
     dispatch_settings settings_;
     dispatch_hooks hooks_;
--- a/oriolefall/dispatch/dispatcher_notes.cpp
+++ b/oriolefall/dispatch/dispatcher_notes.cpp
@@ -1,6 +1,5 @@
 #include "oriolefall/dispatch/dispatcher.hpp"
 
-#include <string>
 #include <utility>
 
 namespace oriolefall::dispatch {
@@ -24,39 +23,76 @@
     out_->push_back(tell_load{std::move(report)});
 }
 
+decision_note dispatcher::describe(const open_request& request,
+                                   decision what) const
+{
+    decision_note made;
+    made.id = request.facts.id;
+    made.caller_id = request.facts.caller_id;
+    made.what = what;
+    made.since_arrival = now_ - request.facts.received;
+    made.servers_tried = static_cast<std::uint32_t>(request.tried.size());
+    made.prompt_tokens = total_tokens(request.facts.prompt);
+    if (request.route != nullptr)
+        made.is_stream = request.route->is_stream;
+    if (request.table)
+        made.settings_version = request.table->settings().version;
+    if (request.call) {
+        made.server = request.call->server;
+        made.tokens_to_read = request.call->tokens_to_read;
+        made.expected = absl::Milliseconds(request.call->expected_ms);
+    } else if (!request.tried.empty()) {
+        made.server = request.tried.back();
+    }
+    return made;
+}
+
+void dispatcher::note(const open_request& request, decision what,
+                      std::string_view cause, int status)
+{
+    decision_note made = describe(request, what);
+    made.cause = cause;
+    made.status = status;
+    out_->push_back(std::move(made));
+}
+
+void dispatcher::note_sent(const open_request& request, const server_view& view)
+{
+    decision_note made = describe(request, decision::sent);
+    made.own_calls = view.server.own_calls();
+    made.other_calls = static_cast<std::uint32_t>(view.other_calls);
+    out_->push_back(std::move(made));
+}
+
 void dispatcher::note_answer(const open_request& request,
                              const call_done& event)
 {
-    const auto ms = [](absl::Duration time) {
-        return std::to_string(absl::ToInt64Milliseconds(time));
-    };
-    const auto& call = *request.call;
-    out_->push_back(decision_note{
-        request.facts.id, request.facts.caller_id, "answered",
-        "server=" + call.server.value() +
-            " priority=" + std::to_string(request.route->priority) +
-            " tokens=" + std::to_string(total_tokens(request.facts.prompt)) +
-            " to_read=" + std::to_string(call.tokens_to_read) +
-            " first_ms=" + ms(call.answered_at - request.facts.received) +
-            " gap_ms=" + ms(event.longest_gap) +
-            " events=" + std::to_string(event.events),
-        false});
+    decision_note made = describe(request, decision::answered);
+    made.first_event = request.call->answered_at - request.facts.received;
+    made.longest_gap = event.longest_gap;
+    made.events = event.events;
+    out_->push_back(std::move(made));
 }
 
-void dispatcher::note(const open_request& request, std::string outcome,
-                      bool is_failure)
+void dispatcher::note_refused(const open_request& request, refusal cause)
 {
-    std::string inputs = "servers=" + std::to_string(request.tried.size());
-    if (request.table)
-        inputs +=
-            " settings=" + std::to_string(request.table->settings().version);
-    if (request.call)
-        inputs += " server=" + request.call->server.value();
-    else if (!request.tried.empty())
-        inputs += " server=" + request.tried.back().value();
-    out_->push_back(decision_note{request.facts.id, request.facts.caller_id,
-                                  std::move(outcome), std::move(inputs),
-                                  is_failure});
+    note(request, decision::refused, to_string(cause));
+}
+
+void dispatcher::judge(server_state& server,
+                       void (server_state::*taking_note)(absl::Time))
+{
+    const bool was_out = server.is_ejected(now_);
+    const bool was_on_probation = server.is_on_probation();
+    (server.*taking_note)(now_);
+    const bool is_out = server.is_ejected(now_);
+    const bool is_back = was_on_probation && !server.is_on_probation();
+    if (is_out == was_out && !is_back)
+        return;
+    out_->push_back(server_note{server.entry().id, is_out,
+                                is_out ? server.ejected_until() - now_
+                                       : absl::ZeroDuration(),
+                                server.failed_percent()});
 }
 
 } // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -210,12 +210,11 @@
     order.stop_at = request.facts.received +
                     std::min(route.time_limit, request.facts.patience);
     order.is_stream = route.is_stream;
-    order.resumable = route.is_stream && route.resumable;
     order.hold_errors = may_repeat(request);
     set_silence_limits(request, call.expected_ms, order);
-    note(request, "sent", false);
     out_->push_back(std::move(order));
     request.call = std::move(call);
+    note_sent(request, view);
 }
 
 } // namespace oriolefall::dispatch
--- /dev/null
+++ b/oriolefall/dispatch/event.cpp
@@ -0,0 +1,21 @@
+#include "oriolefall/dispatch/event.hpp"
+
+#include <array>
+
+namespace oriolefall::dispatch {
+
+std::string_view to_string(not_run_cause value)
+{
+    static constexpr std::array<std::string_view, 4> names{
+        "not_connected", "no_room", "refused_by_server", "wrong_server"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+std::string_view to_string(broken_cause value)
+{
+    static constexpr std::array<std::string_view, 3> names{
+        "connection_lost", "malformed", "timed_out"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+} // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -42,10 +43,6 @@
     absl::Time received;
     /// The prompt's parts in order; empty for plain services.
     std::vector<prompt_part> prompt;
-    /// Longest answer, in tokens; 0 when not told.
-    std::uint32_t max_output_tokens = 0;
-    /// The caller goes on with a stream that it has a part of.
-    bool resumes = false;
     std::uint32_t body_bytes = 0;
     std::strong_ordering operator<=>(const arrival&) const = default;
 };
@@ -66,6 +63,8 @@
     wrong_server   ///< another server answers at the address
 };
 
+[[nodiscard]] std::string_view to_string(not_run_cause value);
+
 /// A call ended and its request has certainly not run there.
 struct call_not_run
 {
@@ -84,6 +83,8 @@
     timed_out        ///< its time was over
 };
 
+[[nodiscard]] std::string_view to_string(broken_cause value);
+
 /// A call ended without its whole answer; its request may have run.
 struct call_broken
 {
--- a/oriolefall/dispatch/server_state.cpp
+++ b/oriolefall/dispatch/server_state.cpp
@@ -17,6 +17,7 @@
 constexpr double slowness_weight = 0.15;
 constexpr double least_slowness = 0.15;
 constexpr double most_slowness = 6;
+constexpr double percent = 100;
 
 } // namespace
 
@@ -119,6 +120,16 @@
     return now < ejected_until_;
 }
 
+absl::Time server_state::ejected_until() const
+{
+    return ejected_until_;
+}
+
+std::uint32_t server_state::failed_percent() const
+{
+    return static_cast<std::uint32_t>(failure_share_ * percent);
+}
+
 bool server_state::is_on_probation() const
 {
     return on_probation_;
--- a/oriolefall/dispatch/server_state.hpp
+++ b/oriolefall/dispatch/server_state.hpp
@@ -51,6 +51,9 @@
 
     /// True while it gets no calls for its failures.
     [[nodiscard]] bool is_ejected(absl::Time now) const;
+    [[nodiscard]] absl::Time ejected_until() const;
+    /// Share of its latest calls that failed.
+    [[nodiscard]] std::uint32_t failed_percent() const;
     /// After an ejection one call at a time shows whether it is well again.
     [[nodiscard]] bool is_on_probation() const;
 
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr unsigned success_class = 2;
+/// All instances may start together: the first list shows few of them.
+constexpr std::uint32_t fresh_lists = 2;
 
 bool is_success(const store_result& result)
 {
@@ -141,7 +143,7 @@
 
 void store_duty::list()
 {
-    const list_call call{settings_.listed, list_after_, false};
+    const list_call call{settings_.listed, list_after_, lists_ >= fresh_lists};
     const store_request request{
         http::verb::get, protocol_.target(call), {}, settings_.answer_limit};
     list_line_->call(request, [this, call](const store_result& result) {
@@ -168,9 +170,24 @@
         list();
         return;
     }
+    finish_list();
+}
+
+void store_duty::finish_list()
+{
+    ++lists_;
     hooks_.listed(listed_);
+    const bool is_there =
+        std::ranges::any_of(listed_, [this](const stored_object& each) {
+            return each.name == own_.name;
+        });
     list_after_.clear();
     listed_.clear();
+    // Another instance may have taken this one for dead.
+    if (!is_there && !leaving_ && lists_ > fresh_lists) {
+        write_own();
+        return;
+    }
     list_after(settings_.list_pause);
 }
 
--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -36,7 +36,8 @@
     core::endpoint store;
     /// Followed all the time.
     std::vector<follower_settings> followed;
-    /// Read whole at the start and then at this pace.
+    /// Read whole at the start and then at this pace; after the start with
+    /// answers that may be seconds old, which cost the store less.
     std::string listed;
     std::chrono::milliseconds list_pause{15000};
     std::chrono::milliseconds answer_limit{1200};
@@ -92,6 +93,7 @@
                    const store_result& result);
     void watch_expiry(followed& each);
     void list();
+    void finish_list();
     void on_listed(const list_call& call, const store_result& result);
     void list_after(std::chrono::milliseconds pause);
     void write_own();
@@ -107,6 +109,8 @@
     asio::steady_timer list_timer_;
     std::string list_after_;
     std::vector<stored_object> listed_;
+    /// Times that the collection was read whole.
+    std::uint32_t lists_ = 0;
     asio::steady_timer write_timer_;
     own_object own_;
     bool leaving_ = false;
--- a/oriolefall/forward/caller_connection.cpp
+++ b/oriolefall/forward/caller_connection.cpp
@@ -262,11 +262,6 @@
     return chunks_;
 }
 
-bool caller_connection::is_idle() const
-{
-    return state_ == state::idle;
-}
-
 void caller_connection::start_timer(std::chrono::milliseconds time)
 {
     timer_.expires_after(time);
--- a/oriolefall/forward/caller_connection.hpp
+++ b/oriolefall/forward/caller_connection.hpp
@@ -60,7 +60,6 @@
     /// The connection ends after this answer.
     [[nodiscard]] bool closes_after() const;
     [[nodiscard]] bool speaks_chunks() const;
-    [[nodiscard]] bool is_idle() const;
 
 private:
     using parser_type = http::request_parser<http::string_body>;
--- a/oriolefall/forward/forward_settings.hpp
+++ b/oriolefall/forward/forward_settings.hpp
@@ -3,6 +3,8 @@
 
 #include "oriolefall/core/backend_server.hpp"
 
+#include <absl/time/time.h>
+
 #include <chrono>
 #include <compare>
 #include <cstddef>
@@ -34,9 +36,12 @@
     /// A kept connection is closed after this time when the server tells no
     /// time of its own.
     std::chrono::milliseconds server_idle_limit{4000};
-    /// Taken off the time that the server tells.
+    /// Taken off the time that the server tells, so that no request meets the
+    /// close; half of that time at most.
     std::chrono::milliseconds idle_margin{1000};
-    auto operator<=>(const forward_settings&) const = default;
+    /// When callers come back that were refused for want of room here.
+    absl::Duration come_back = absl::Milliseconds(400);
+    std::strong_ordering operator<=>(const forward_settings&) const = default;
 };
 
 } // namespace oriolefall::forward
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/forward/forwarder.hpp"
 
 #include "oriolefall/forward/exchange.hpp"
+#include "oriolefall/net/acceptor.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -35,20 +36,7 @@
 
     bool listen()
     {
-        error_code error;
-        const auto address =
-            asio::ip::make_address(settings_.listen.address, error);
-        if (error)
-            return false;
-        const tcp::endpoint at(address, settings_.listen.port);
-        acceptor_.open(at.protocol(), error);
-        if (!error)
-            acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-        if (!error)
-            acceptor_.bind(at, error);
-        if (!error)
-            acceptor_.listen(accept_queue, error);
-        return !error;
+        return net::open_acceptor(acceptor_, settings_.listen, accept_queue);
     }
 
     [[nodiscard]] std::uint16_t port() const
@@ -182,7 +170,7 @@
         open_count_ = exchanges_.size();
         if (!has_room || !hooks_.tell(std::move(arrival)))
             open->act(dispatch::refuse{id, dispatch::refusal::overloaded, true,
-                                       absl::Milliseconds(400)});
+                                       settings_.come_back});
     }
 
     void tell(dispatch::event event)
@@ -227,8 +215,9 @@
         held->act(order);
     }
 
-    // These two go to other duties.
+    // These go to other duties.
     void carry_out(const dispatch::decision_note&) {}
+    void carry_out(const dispatch::server_note&) {}
     void carry_out(const dispatch::tell_load&) {}
 
     void cut_all()
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "oriolefall/net/socket_options.hpp"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -17,6 +18,12 @@
 
 } // namespace
 
+std::chrono::milliseconds kept_time(std::chrono::milliseconds told,
+                                    std::chrono::milliseconds margin)
+{
+    return std::max(told - margin, told / 2);
+}
+
 server_connection::server_connection(asio::io_context& context,
                                      const forward_settings& settings,
                                      owner_hooks owner)
@@ -260,7 +267,7 @@
 
 void server_connection::set_idle_limit(std::chrono::milliseconds limit)
 {
-    idle_limit_ = limit;
+    idle_limit_ = kept_time(limit, settings_.idle_margin);
 }
 
 void server_connection::fail(call_fault fault)
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -110,6 +110,11 @@
     bool closed_ = false;
 };
 
+/// How long a connection is kept idle when its server says that it keeps it
+/// for `told`: shorter by the margin, so that no request meets the close.
+[[nodiscard]] std::chrono::milliseconds
+kept_time(std::chrono::milliseconds told, std::chrono::milliseconds margin);
+
 } // namespace oriolefall::forward
 
 #endif
--- a/oriolefall/observe/line_log.cpp
+++ b/oriolefall/observe/line_log.cpp
@@ -1,9 +1,5 @@
 #include "oriolefall/observe/line_log.hpp"
 
-#include "oriolefall/core/clock.hpp"
-#include "oriolefall/core/text.hpp"
-
-#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
@@ -14,27 +10,9 @@
 
 namespace oriolefall::observe {
 
-namespace {
-
-std::string line_of(std::string_view event,
-                    std::initializer_list<log_field> fields)
-{
-    nlohmann::ordered_json line;
-    line["at"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(),
-                                  absl::UTCTimeZone());
-    line["event"] = event;
-    std::ranges::for_each(fields, [&line](const log_field& field) {
-        line[std::string(field.first)] = field.second;
-    });
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-           "\n";
-}
-
-} // namespace
-
 line_log::line_log(line_log_settings settings, write_hook write)
-    : settings_(settings), write_(std::move(write)),
-      lines_(settings.waiting_lines)
+    : settings_(std::move(settings)), write_(std::move(write)),
+      lines_(settings_.waiting_lines)
 {
     thread_.emplace(
         "log", [this] { run(); }, core::small_stack_bytes);
@@ -49,41 +27,48 @@
 void line_log::write(std::string_view event,
                      std::initializer_list<log_field> fields)
 {
-    push(event, fields);
+    write_at(absl::Now(), event, {fields.begin(), fields.size()});
 }
 
-void line_log::write_routine(std::string_view event,
-                             std::initializer_list<log_field> fields)
+void line_log::write_at(absl::Time at, std::string_view event,
+                        std::span<const log_field> fields)
 {
-    if (is_thinned_out())
-        ++thinned_;
-    else
-        push(event, fields);
+    if (!lines_.try_push(line_of(at, event, fields)))
+        ++dropped_;
 }
 
-void line_log::push(std::string_view event,
-                    std::initializer_list<log_field> fields)
+std::uint64_t line_log::dropped() const
 {
-    if (!lines_.try_push(line_of(event, fields)))
-        ++dropped_;
+    return dropped_;
 }
 
-bool line_log::is_thinned_out()
+std::string line_log::line_of(absl::Time at, std::string_view event,
+                              std::span<const log_field> fields) const
 {
-    const std::int64_t second = absl::ToUnixSeconds(core::monotonic_now());
-    if (second_.exchange(second) != second)
-        in_second_ = 0;
-    return ++in_second_ > settings_.routine_per_second;
+    nlohmann::ordered_json line;
+    line["at"] =
+        absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", at, absl::UTCTimeZone());
+    line["instance"] = settings_.instance;
+    line["event"] = event;
+    std::ranges::for_each(fields, [&line](const log_field& field) {
+        line[std::string(field.first)] = field.second;
+    });
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+           "\n";
 }
 
 void line_log::run()
 {
+    std::uint64_t told = 0;
     while (auto line = lines_.pop()) {
         write_(*line);
-        const auto dropped = dropped_.exchange(0);
-        if (dropped > 0)
-            write_(line_of("log_lines_dropped",
-                           {{"count", std::to_string(dropped)}}));
+        const std::uint64_t dropped = dropped_;
+        if (dropped == told)
+            continue;
+        const std::string count = std::to_string(dropped - told);
+        const log_field field{"count", count};
+        write_(line_of(absl::Now(), "log_lines_dropped", {&field, 1}));
+        told = dropped;
     }
 }
 
--- a/oriolefall/observe/line_log.hpp
+++ b/oriolefall/observe/line_log.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <initializer_list>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,15 +23,15 @@
 
 struct line_log_settings
 {
+    /// Whose lines these are; in each line, as logs of many are read together.
+    std::string instance;
     /// Lines that wait for the writer at most.
     std::size_t waiting_lines = 2048;
-    /// Lines of requests that went well, a second; more are thinned out.
-    std::uint32_t routine_per_second = 20;
 };
 
 /// Writes JSON lines to a stream from a thread of its own. Writing never
 /// blocks who logs: without room a line is dropped and counted, and the count
-/// is logged. Lines of failures are never thinned out. Any thread.
+/// is logged. Any thread.
 class line_log
 {
 public:
@@ -42,22 +43,21 @@
     line_log& operator=(const line_log&) = delete;
 
     void write(std::string_view event, std::initializer_list<log_field> fields);
-    /// A line that may be left out while there are many.
-    void write_routine(std::string_view event,
-                       std::initializer_list<log_field> fields);
+    /// For what happened at `at`, by the time of day.
+    void write_at(absl::Time at, std::string_view event,
+                  std::span<const log_field> fields);
+    /// Lines that found no room, so far.
+    [[nodiscard]] std::uint64_t dropped() const;
 
 private:
     void run();
-    void push(std::string_view event, std::initializer_list<log_field> fields);
-    [[nodiscard]] bool is_thinned_out();
+    [[nodiscard]] std::string line_of(absl::Time at, std::string_view event,
+                                      std::span<const log_field> fields) const;
 
     line_log_settings settings_;
     write_hook write_;
     core::bounded_ring<std::string> lines_;
     std::atomic<std::uint64_t> dropped_ = 0;
-    std::atomic<std::uint64_t> thinned_ = 0;
-    std::atomic<std::int64_t> second_ = 0;
-    std::atomic<std::uint32_t> in_second_ = 0;
     std::optional<core::duty_thread> thread_;
 };
 
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -69,6 +69,9 @@
     for (dispatch::action& action : actions_) {
         if (const auto* note = std::get_if<dispatch::decision_note>(&action))
             hooks_.note(*note);
+        else if (const auto* change =
+                     std::get_if<dispatch::server_note>(&action))
+            hooks_.server_note(*change);
         else if (const auto* load = std::get_if<dispatch::tell_load>(&action))
             hooks_.tell_load(load->report);
         else
--- a/oriolefall/router/decide_duty.hpp
+++ b/oriolefall/router/decide_duty.hpp
@@ -21,6 +21,7 @@
         /// Orders the forwarding duty; false when it has no room now.
         std::function<bool(const dispatch::action&)> order;
         std::function<void(const dispatch::decision_note&)> note;
+        std::function<void(const dispatch::server_note&)> server_note;
         /// Tells the other instances; may be lost.
         std::function<void(const dispatch::load_report&)> tell_load;
     };
--- a/oriolefall/router/page_duty.cpp
+++ b/oriolefall/router/page_duty.cpp
@@ -1,5 +1,6 @@
 #include "oriolefall/router/page_duty.hpp"
 
+#include "oriolefall/net/acceptor.hpp"
 #include "oriolefall/net/socket_options.hpp"
 
 #include <utility>
@@ -83,20 +84,8 @@
 
 bool page_duty::listen(const core::endpoint& at)
 {
-    error_code error;
-    const auto address = asio::ip::make_address(at.address, error);
-    if (error)
-        return false;
-    const tcp::endpoint endpoint(address, at.port);
     auto made = std::make_unique<tcp::acceptor>(context_);
-    made->open(endpoint.protocol(), error);
-    if (!error)
-        made->set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        made->bind(endpoint, error);
-    if (!error)
-        made->listen(accept_queue, error);
-    if (error)
+    if (!net::open_acceptor(*made, at, accept_queue))
         return false;
     accept(*made);
     acceptors_.push_back(std::move(made));
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -4,7 +4,7 @@
 #include "oriolefall/core/text.hpp"
 #include "oriolefall/membership/near_instances.hpp"
 
-#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 
 #include <algorithm>
 #include <iterator>
@@ -31,7 +31,9 @@
 
 router::router(router_settings settings, router_hooks hooks)
     : settings_(std::move(settings)), hooks_(std::move(hooks)),
-      log_({}, observe::standard_output()),
+      log_({.instance = settings_.instance.value()},
+           observe::standard_output()),
+      requests_({}, log_),
       limits_(std::make_shared<const routing::caller_limits>()),
       members_(std::make_shared<const std::vector<membership::member>>())
 {
@@ -45,7 +47,14 @@
             [this](const dispatch::action& action) {
                 return forward_->give(action);
             },
-            [this](const dispatch::decision_note& value) { note(value); },
+            [this](const dispatch::decision_note& value) {
+                metrics_.note(value);
+                requests_.note(absl::Now(), value);
+            },
+            [this](const dispatch::server_note& value) {
+                metrics_.note(value);
+                requests_.note(absl::Now(), value);
+            },
             [this](const dispatch::load_report& report) { tell_load(report); }},
         events_per_request * settings_.forward.most_open);
     forward_ = std::make_unique<forward::forwarder>(
@@ -77,14 +86,14 @@
     pages_->start();
     store_->start({settings_.instances_collection, settings_.instance.value(),
                    hooks_.print_member(self())});
-    log_.write("started", {{"instance", settings_.instance.value()}});
+    log_.write("started", {});
     return true;
 }
 
 void router::leave()
 {
     leaving_ = true;
-    log_.write("leaving", {{"instance", settings_.instance.value()}});
+    log_.write("leaving", {});
     control_->give(membership::leave_requested{});
     store_->leave();
 }
@@ -130,6 +139,7 @@
     };
     hooks.away = [this](const std::string& collection, bool away,
                         const std::string& cause) {
+        metrics_.set_store_away(collection, away);
         log_.write(away ? "store_lost" : "store_back",
                    {{"collection", collection}, {"cause", cause}});
     };
@@ -172,6 +182,7 @@
     const bool told = decide_->tell(dispatch::routes_changed{table_});
     has_routes_ = has_routes_ || told;
     const auto& now = table_->settings();
+    metrics_.set_settings_version(now.version);
     log_.write("settings_in_force",
                {{"version", std::to_string(now.version)},
                 {"routes", std::to_string(now.routes.size())},
@@ -195,6 +206,10 @@
             change.doubtful.emplace_back(name);
     const auto leaving = std::ranges::count_if(
         entries, [](const auto& entry) { return entry.leaving; });
+    metrics_.set_servers(entries.size() - change.doubtful.size() -
+                             static_cast<std::size_t>(leaving),
+                         static_cast<std::size_t>(leaving),
+                         change.doubtful.size());
     log_.write("servers_known",
                {{"count", std::to_string(entries.size())},
                 {"leaving", std::to_string(leaving)},
@@ -212,21 +227,49 @@
     for (const follow::stored_object& object : objects)
         if (auto member = hooks_.parse_member(object))
             listed.members.push_back(std::move(*member));
+    remove_absent(listed.members);
     control_->give(std::move(listed));
 }
 
+void router::remove_absent(const std::vector<membership::member>& listed)
+{
+    for (const core::instance_id& each :
+         absent_.take(core::monotonic_now(), settings_.instance, listed,
+                      *members_.get())) {
+        log_.write("absent_instance_removed", {{"peer", each.value()}});
+        store_->remove(settings_.instances_collection, each.value());
+    }
+}
+
 void router::on_members(const peer::members_ptr& members)
 {
+    log_members(*members_.get(), *members);
     members_.set(members);
     const auto there = static_cast<std::uint32_t>(
         std::ranges::count_if(*members, membership::takes_part));
-    // Instances that can't be heard may still spend their share: the number
-    // of those that share never falls.
-    most_instances_ = std::max(most_instances_, there);
-    if (!decide_->tell(dispatch::fleet_changed{most_instances_}))
+    metrics_.set_instances(there);
+    const std::uint32_t sharing =
+        most_instances_.take(core::monotonic_now(), there);
+    if (!decide_->tell(dispatch::fleet_changed{sharing}))
         log_.write("fleet_size_not_told", {});
 }
 
+void router::log_members(const std::vector<membership::member>& before,
+                         const std::vector<membership::member>& now)
+{
+    const auto tell_missing = [this](std::string_view event, const auto& from,
+                                     const auto& in) {
+        for (const membership::member& each : from)
+            if (membership::takes_part(each) &&
+                std::ranges::none_of(in, [&each](const auto& other) {
+                    return other.id == each.id && membership::takes_part(other);
+                }))
+                log_.write(event, {{"peer", each.id.value()}});
+    };
+    tell_missing("peer_lost", before, now);
+    tell_missing("peer_known", now, before);
+}
+
 void router::tell_load(const dispatch::load_report& report)
 {
     if (!joined_)
@@ -286,15 +329,12 @@
     return addresses;
 }
 
-std::string router::metrics_text() const
+std::string router::metrics_text()
 {
     const auto counts = forward_->counts();
-    return absl::StrCat(
-        "oriolefall_callers ", counts.callers, "\noriolefall_open_requests ",
-        counts.open_requests, "\noriolefall_server_connections_opened_total ",
-        counts.server_connections_opened,
-        "\noriolefall_requests_answered_total ", answered_.load(),
-        "\noriolefall_requests_failed_total ", failures_.load(), "\n");
+    return metrics_.text({counts.callers, counts.open_requests,
+                          counts.server_connections_opened, log_.dropped(),
+                          is_ready()});
 }
 
 membership::member router::self() const
@@ -308,23 +348,4 @@
     return member;
 }
 
-void router::note(const dispatch::decision_note& value)
-{
-    const auto request = std::to_string(value.id.value());
-    if (value.is_failure) {
-        ++failures_;
-        log_.write("request", {{"request", request},
-                               {"attempt", value.caller_id},
-                               {"outcome", value.outcome},
-                               {"inputs", value.inputs}});
-        return;
-    }
-    if (value.outcome == "answered")
-        ++answered_;
-    log_.write_routine("request", {{"request", request},
-                                   {"attempt", value.caller_id},
-                                   {"outcome", value.outcome},
-                                   {"inputs", value.inputs}});
-}
-
 } // namespace oriolefall::router
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -2,10 +2,14 @@
 #define ORIOLEFALL_ROUTER_ROUTER_HPP
 
 #include "oriolefall/core/latest_value.hpp"
+#include "oriolefall/core/recent_peak.hpp"
 #include "oriolefall/forward/forwarder.hpp"
+#include "oriolefall/membership/absence_watch.hpp"
 #include "oriolefall/observe/line_log.hpp"
 #include "oriolefall/router/decide_duty.hpp"
 #include "oriolefall/router/page_duty.hpp"
+#include "oriolefall/router/request_log.hpp"
+#include "oriolefall/router/router_metrics.hpp"
 #include "oriolefall/router/router_settings.hpp"
 
 #include <atomic>
@@ -40,6 +44,8 @@
     void on_settings(const follow::collection_view& view);
     void on_servers(const follow::collection_view& view);
     void on_instances(const std::vector<follow::stored_object>& objects);
+    /// Removes what instances that died for good left in the store.
+    void remove_absent(const std::vector<membership::member>& listed);
     void on_members(const peer::members_ptr& members);
     void tell_load(const dispatch::load_report& report);
     /// Joins the other instances once requests can be answered.
@@ -48,13 +54,18 @@
     [[nodiscard]] page make_page(const std::string& target);
     [[nodiscard]] std::vector<core::endpoint>
     addresses_for(const core::location& caller) const;
-    [[nodiscard]] std::string metrics_text() const;
+    [[nodiscard]] std::string metrics_text();
     [[nodiscard]] membership::member self() const;
-    void note(const dispatch::decision_note& value);
+    /// Logs which instances are new or gone.
+    void log_members(const std::vector<membership::member>& before,
+                     const std::vector<membership::member>& now);
 
     router_settings settings_;
     router_hooks hooks_;
     observe::line_log log_;
+    /// Used by the deciding duty alone.
+    request_log requests_;
+    router_metrics metrics_;
     core::latest_value<routing::caller_limits> limits_;
     core::latest_value<std::vector<membership::member>> members_;
     std::shared_ptr<const routing::route_table> table_;
@@ -62,9 +73,11 @@
     std::atomic<bool> has_servers_ = false;
     std::atomic<bool> leaving_ = false;
     std::atomic<bool> joined_ = false;
-    std::uint32_t most_instances_ = 1;
-    std::atomic<std::uint64_t> failures_ = 0;
-    std::atomic<std::uint64_t> answered_ = 0;
+    /// Instances that can't be heard may still spend their share of the budget:
+    /// they count for longer than regions lose each other.
+    core::recent_peak most_instances_{absl::Minutes(30)};
+    /// Used by the store duty alone.
+    membership::absence_watch absent_;
     std::unique_ptr<decide_duty> decide_;
     std::unique_ptr<forward::forwarder> forward_;
     std::unique_ptr<page_duty> pages_;
--- /dev/null
+++ b/oriolefall/router/router_metrics.cpp
@@ -0,0 +1,139 @@
+#include "oriolefall/router/router_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace oriolefall::router {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries answer_seconds{
+    0.02, 0.05, 0.1, 0.2, 0.4, 0.66, 1, 2, 4, 8};
+const prometheus::Histogram::BucketBoundaries gap_seconds{
+    0.01, 0.02, 0.042, 0.08, 0.15, 0.3, 0.6, 1.2, 2.4};
+
+void add_up_to(prometheus::Counter& counter, std::uint64_t total)
+{
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
+} // namespace
+
+router_metrics::router_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(counters("oriolefall_requests_total",
+                         "Requests that ended, by how and why")),
+      calls_(counters("oriolefall_server_calls_total",
+                      "Calls to backend servers, by what became of them")),
+      server_changes_(counters("oriolefall_server_changes_total",
+                               "Servers left out for failures or taken back")),
+      connections_(counters("oriolefall_server_connections_opened_total",
+                            "Connections opened to backend servers")
+                       .Add({})),
+      dropped_(counters("oriolefall_log_lines_dropped_total",
+                        "Log lines that found no room")
+                   .Add({})),
+      servers_(gauges("oriolefall_backend_servers",
+                      "Backend servers known, by state")),
+      store_away_(gauges("oriolefall_store_away",
+                         "1 while a collection can't be read")),
+      settings_version_(
+          gauges("oriolefall_settings_version", "Version in force").Add({})),
+      instances_(
+          gauges("oriolefall_instances", "Instances that take part").Add({})),
+      callers_(gauges("oriolefall_callers", "Connections of callers").Add({})),
+      open_requests_(
+          gauges("oriolefall_open_requests", "Requests not yet ended").Add({})),
+      ready_(gauges("oriolefall_ready", "1 while it says that it is ready")
+                 .Add({})),
+      first_event_(histograms("oriolefall_first_event_seconds",
+                              "From a request to the first event of its stream")
+                       .Add({}, answer_seconds)),
+      plain_answer_(histograms("oriolefall_plain_answer_seconds",
+                               "From a request to its plain answer")
+                        .Add({}, answer_seconds)),
+      event_gap_(histograms("oriolefall_event_gap_seconds",
+                            "Longest pause between two events of a stream")
+                     .Add({}, gap_seconds))
+{
+}
+
+void router_metrics::note(const dispatch::decision_note& value)
+{
+    using dispatch::decision;
+    const std::string what(dispatch::to_string(value.what));
+    const std::string cause(value.cause);
+    if (dispatch::ends_request(value.what))
+        requests_.Add({{"outcome", what}, {"cause", cause}}).Increment();
+    else
+        calls_.Add({{"outcome", what}, {"cause", cause}}).Increment();
+    if (value.what != decision::answered)
+        return;
+    const double seconds = absl::ToDoubleSeconds(value.first_event);
+    if (!value.is_stream) {
+        plain_answer_.Observe(seconds);
+        return;
+    }
+    first_event_.Observe(seconds);
+    event_gap_.Observe(absl::ToDoubleSeconds(value.longest_gap));
+}
+
+void router_metrics::note(const dispatch::server_note& value)
+{
+    server_changes_.Add({{"change", value.is_out ? "out" : "back"}})
+        .Increment();
+}
+
+void router_metrics::set_settings_version(std::uint64_t version)
+{
+    settings_version_.Set(static_cast<double>(version));
+}
+
+void router_metrics::set_servers(std::size_t ready, std::size_t leaving,
+                                 std::size_t doubtful)
+{
+    servers_.Add({{"state", "ready"}}).Set(static_cast<double>(ready));
+    servers_.Add({{"state", "leaving"}}).Set(static_cast<double>(leaving));
+    servers_.Add({{"state", "doubtful"}}).Set(static_cast<double>(doubtful));
+}
+
+void router_metrics::set_instances(std::size_t count)
+{
+    instances_.Set(static_cast<double>(count));
+}
+
+void router_metrics::set_store_away(const std::string& collection, bool away)
+{
+    store_away_.Add({{"collection", collection}}).Set(away ? 1 : 0);
+}
+
+std::string router_metrics::text(const momentary_figures& now)
+{
+    callers_.Set(static_cast<double>(now.callers));
+    open_requests_.Set(static_cast<double>(now.open_requests));
+    ready_.Set(now.is_ready ? 1 : 0);
+    add_up_to(connections_, now.server_connections_opened);
+    add_up_to(dropped_, now.log_lines_dropped);
+    return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+router_metrics::counter_family&
+router_metrics::counters(const std::string& name, const std::string& help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(
+        *registry_);
+}
+
+router_metrics::gauge_family& router_metrics::gauges(const std::string& name,
+                                                     const std::string& help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(*registry_);
+}
+
+router_metrics::histogram_family&
+router_metrics::histograms(const std::string& name, const std::string& help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(
+        *registry_);
+}
+
+} // namespace oriolefall::router
--- a/programs/oriolefall/explain_command.cpp
+++ b/programs/oriolefall/explain_command.cpp
@@ -1,9 +1,13 @@
+#include "oriolefall/observe/log_path.hpp"
 #include "programs/oriolefall/commands.hpp"
 #include "programs/oriolefall/instance_query.hpp"
 
 #include <absl/strings/numbers.h>
 
 #include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
 
 namespace oriolefall::programs {
 
@@ -14,18 +18,36 @@
 command_line explain_line()
 {
     command_line line;
-    line.usage = "explain REQUEST_ID [--address ADDRESS:PORT]";
+    line.usage = "explain REQUEST_ID [--address ADDRESS:PORT] | [--logs FILE]";
     line.description =
-        "Prints why a request went where it went, as JSON. REQUEST_ID is what\n"
-        "the header X-Request-Id of its answer says; ask the instance that\n"
-        "answered it.";
+        "Prints why a request went where it went. With --logs it reads the\n"
+        "log lines of any number of instances, and REQUEST_ID is the caller's\n"
+        "name of its request. Else it asks the instance that answered it, and\n"
+        "REQUEST_ID is what the header X-Request-Id of the answer says.";
     add_address_option(line);
+    line.options.add_options()("logs", po::value<std::string>(),
+                               "file with log lines; - for standard input");
     line.positional_options.add_options()("request-id",
                                           po::value<std::string>());
     line.positions.add("request-id", 1);
     return line;
 }
 
+/// 1 when no line names the request.
+int explain_by_logs(const std::string& file, const std::string& attempt)
+{
+    std::ifstream opened;
+    if (file != "-") {
+        opened.open(file);
+        if (!opened)
+            return report_bad_input("explain", "cannot read " + file);
+    }
+    const auto path =
+        observe::find_log_path(file == "-" ? std::cin : opened, attempt);
+    std::cout << observe::print(path);
+    return path.lines.empty() ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
 int run_explain(const std::vector<std::string>& arguments)
 {
     const auto parsed = parse_command_line(explain_line(), arguments);
@@ -35,6 +57,8 @@
     if (!values.contains("request-id"))
         return report_bad_input("explain", "REQUEST_ID is missing");
     const auto& text = values["request-id"].as<std::string>();
+    if (values.contains("logs"))
+        return explain_by_logs(values["logs"].as<std::string>(), text);
     std::uint64_t id = 0;
     if (!absl::SimpleAtoi(text, &id))
         return report_bad_input("explain",
--- a/tests/dispatch/dispatcher_properties_test.cpp
+++ b/tests/dispatch/dispatcher_properties_test.cpp
@@ -199,6 +199,7 @@
 
     void check(const tell_load&) {}
     void check(const decision_note&) {}
+    void check(const server_note&) {}
 
     dispatch_world world_;
     std::map<std::uint64_t, request> requests_;
--- /dev/null
+++ b/tests/router/router_metrics_test.cpp
@@ -0,0 +1,70 @@
+#include "oriolefall/router/router_metrics.hpp"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace oriolefall;
+using dispatch::decision;
+
+bool has_line(const std::string& text, const std::string& line)
+{
+    return text.find(line + "\n") != std::string::npos;
+}
+
+dispatch::decision_note note(decision what, std::string_view cause = {})
+{
+    dispatch::decision_note made;
+    made.what = what;
+    made.cause = cause;
+    return made;
+}
+
+} // namespace
+
+Test(router_metrics, counts_requests_and_calls_by_what_became_of_them)
+{
+    router::router_metrics subject;
+    subject.note(note(decision::sent));
+    subject.note(note(decision::broken, "connection_lost"));
+    subject.note(note(decision::refused, "outcome_unknown"));
+    const std::string text = subject.text({});
+    cr_assert(has_line(text, "oriolefall_server_calls_total{cause=\"connection_"
+                             "lost\",outcome=\"broken\"} 1"));
+    cr_assert(has_line(text, "oriolefall_requests_total{cause=\"outcome_"
+                             "unknown\",outcome=\"refused\"} 1"));
+}
+
+Test(router_metrics, puts_latencies_into_histograms_by_kind)
+{
+    router::router_metrics subject;
+    dispatch::decision_note stream = note(decision::answered);
+    stream.is_stream = true;
+    stream.first_event = absl::Milliseconds(300);
+    stream.longest_gap = absl::Milliseconds(50);
+    subject.note(stream);
+    const std::string text = subject.text({});
+    cr_assert(
+        has_line(text, "oriolefall_first_event_seconds_bucket{le=\"0.2\"} 0"));
+    cr_assert(
+        has_line(text, "oriolefall_first_event_seconds_bucket{le=\"0.4\"} 1"));
+    cr_assert(
+        has_line(text, "oriolefall_event_gap_seconds_bucket{le=\"0.08\"} 1"));
+    cr_assert(has_line(text, "oriolefall_plain_answer_seconds_count 0"));
+}
+
+Test(router_metrics, shows_what_is_true_now)
+{
+    router::router_metrics subject;
+    subject.set_settings_version(19);
+    subject.set_servers(5, 1, 0);
+    subject.set_store_away("settings", true);
+    const std::string text = subject.text({3, 2, 7, 1, true});
+    cr_assert(has_line(text, "oriolefall_settings_version 19"));
+    cr_assert(
+        has_line(text, "oriolefall_backend_servers{state=\"leaving\"} 1"));
+    cr_assert(
+        has_line(text, "oriolefall_store_away{collection=\"settings\"} 1"));
+    cr_assert(has_line(text, "oriolefall_server_connections_opened_total 7"));
+    cr_assert(has_line(text, "oriolefall_ready 1"));
+}
