Give up a long list only when it stops coming; parse a server once a revision

The limit now holds until the answer begins and between two of its pieces. Test first failed: store_line/takes_a_long_answer_as_long_as_it_goes_on (1.20 s, cut). Also each change of one server parsed all of them again; server_reader keeps what was parsed by revision.

--- a/oriolefall/follow/store_line.cpp
+++ b/oriolefall/follow/store_line.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t longest_answer = std::uint64_t{16} * 1024 * 1024;
 constexpr std::chrono::milliseconds ack_limit{1500};
 constexpr std::chrono::milliseconds connect_limit{700};
+/// Between two pieces of one answer.
+constexpr std::chrono::milliseconds silence_limit{1200};
 constexpr unsigned http_1_1 = 11;
 
 } // namespace
@@ -83,14 +85,32 @@
 void store_line::receive()
 {
     answer_.emplace();
+    answer_->eager(true);
     answer_->body_limit(longest_answer);
-    http::async_read(
+    receive_some();
+}
+
+void store_line::receive_some()
+{
+    http::async_read_some(
         *stream_, buffer_, *answer_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-            self->finish(error);
+            if (error || self->answer_->is_done()) {
+                self->finish(error);
+                return;
+            }
+            // The store may wait before it begins; a long answer may take its
+            // time, as long as it goes on.
+            self->stream_->expires_after(self->piece_limit());
+            self->receive_some();
         });
 }
 
+std::chrono::milliseconds store_line::piece_limit() const
+{
+    return std::min(limit_, silence_limit);
+}
+
 void store_line::finish(const error_code& error)
 {
     const auto done = std::exchange(done_, nullptr);
--- a/oriolefall/follow/store_line.hpp
+++ b/oriolefall/follow/store_line.hpp
@@ -20,7 +20,7 @@
     std::string target;
     /// JSON text; empty for none.
     std::string body;
-    /// Time until the whole answer must have come.
+    /// Time until its answer must begin, and at most between two pieces of it.
     std::chrono::milliseconds limit{1200};
 };
 
@@ -51,6 +51,9 @@
 private:
     void send();
     void receive();
+    void receive_some();
+    /// Between two pieces of an answer.
+    [[nodiscard]] std::chrono::milliseconds piece_limit() const;
     void finish(const error_code& error);
 
     asio::io_context& context_;
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -35,7 +35,8 @@
            observe::standard_output()),
       requests_({}, log_),
       limits_(std::make_shared<const routing::caller_limits>()),
-      members_(std::make_shared<const std::vector<membership::member>>())
+      members_(std::make_shared<const std::vector<membership::member>>()),
+      servers_(hooks_.parse_server)
 {
     settings_.dispatch.most_open = settings_.forward.most_open;
     decide_ = std::make_unique<decide_duty>(
@@ -191,32 +192,15 @@
 
 void router::on_servers(const follow::collection_view& view)
 {
-    std::vector<dispatch::server_entry> entries;
-    dispatch::servers_changed change;
-    const auto add = [&](const follow::stored_object& object) {
-        auto entry = hooks_.parse_server(object);
-        if (entry)
-            entries.push_back(std::move(*entry));
-        return entry.has_value();
-    };
-    for (const auto& [name, object] : view.objects)
-        add(object);
-    for (const auto& [name, object] : view.doubtful)
-        if (add(object))
-            change.doubtful.emplace_back(name);
-    const auto leaving = std::ranges::count_if(
-        entries, [](const auto& entry) { return entry.leaving; });
-    metrics_.set_servers(entries.size() - change.doubtful.size() -
-                             static_cast<std::size_t>(leaving),
-                         static_cast<std::size_t>(leaving),
-                         change.doubtful.size());
-    log_.write("servers_known",
-               {{"count", std::to_string(entries.size())},
-                {"leaving", std::to_string(leaving)},
-                {"doubtful", std::to_string(change.doubtful.size())}});
-    change.servers =
-        std::make_shared<const std::vector<dispatch::server_entry>>(
-            std::move(entries));
+    dispatch::servers_changed change = servers_.read(view);
+    const auto leaving = static_cast<std::size_t>(std::ranges::count_if(
+        *change.servers, [](const auto& entry) { return entry.leaving; }));
+    const std::size_t doubtful = change.doubtful.size();
+    const std::size_t count = change.servers->size();
+    metrics_.set_servers(count - doubtful - leaving, leaving, doubtful);
+    log_.write("servers_known", {{"count", std::to_string(count)},
+                                 {"leaving", std::to_string(leaving)},
+                                 {"doubtful", std::to_string(doubtful)}});
     const bool told = decide_->tell(std::move(change));
     has_servers_ = has_servers_ || told;
 }
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -11,6 +11,7 @@
 #include "oriolefall/router/request_log.hpp"
 #include "oriolefall/router/router_metrics.hpp"
 #include "oriolefall/router/router_settings.hpp"
+#include "oriolefall/router/server_reader.hpp"
 
 #include <atomic>
 #include <memory>
@@ -78,6 +79,7 @@
     core::recent_peak most_instances_{absl::Minutes(30)};
     /// Used by the store duty alone.
     membership::absence_watch absent_;
+    server_reader servers_;
     std::unique_ptr<decide_duty> decide_;
     std::unique_ptr<forward::forwarder> forward_;
     std::unique_ptr<page_duty> pages_;
--- a/tests/follow/store_line_test.cpp
+++ b/tests/follow/store_line_test.cpp
@@ -7,8 +7,10 @@
 
 #include <array>
 #include <cerrno>
+#include <functional>
 #include <optional>
 #include <stdexcept>
+#include <string>
 
 #include <criterion/criterion.h>
 
@@ -80,3 +82,43 @@
     context.run();
     cr_assert(failed.value_or(false));
 }
+
+// A long list that hundreds read together comes slowly; cutting it off and
+// reading it again would keep all of them from ever having it.
+Test(store_line, takes_a_long_answer_as_long_as_it_goes_on)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    tcp::socket store(context);
+    const std::array<std::string, 4> pieces{
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "abc", "def", "ghi"};
+    asio::steady_timer timer(context);
+    std::size_t next = 0;
+    std::function<void()> go_on = [&] {
+        timer.expires_after(std::chrono::milliseconds(400));
+        timer.async_wait([&](const error_code& stopped) {
+            if (stopped)
+                return;
+            asio::write(store, asio::buffer(pieces.at(next)));
+            if (++next < pieces.size())
+                go_on();
+        });
+    };
+    acceptor.async_accept(store, [&](const error_code& error) {
+        if (!error)
+            go_on();
+    });
+    const auto line = std::make_shared<store_line>(
+        context, core::endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+    std::string body;
+    store_request request;
+    request.target = "/";
+    request.limit = std::chrono::milliseconds(1200);
+    line->call(request, [&](const store_result& result) {
+        if (const auto* answer = std::get_if<store_answer>(&result))
+            body = answer->body;
+        context.stop();
+    });
+    context.run();
+    cr_assert_eq(body, "abcdefghi");
+}
