--- a/oriolefall/membership/absence_watch.cpp
+++ b/oriolefall/membership/absence_watch.cpp
@@ -6,16 +6,6 @@
 
 namespace oriolefall::membership {
 
-namespace {
-
-/// Not only named by the list.
-bool was_heard(const member& value)
-{
-    return value.incarnation != 0 && takes_part(value);
-}
-
-} // namespace
-
 absence_watch::absence_watch(absl::Duration removed_after)
     : removed_after_(removed_after)
 {
--- a/oriolefall/membership/member.cpp
+++ b/oriolefall/membership/member.cpp
@@ -28,6 +28,11 @@
            std::tie(held.incarnation, held.state);
 }
 
+bool was_heard(const member& value)
+{
+    return value.incarnation != 0 && takes_part(value);
+}
+
 bool takes_part(const member& value)
 {
     return value.state != member_state::dead;
--- a/oriolefall/membership/member.hpp
+++ b/oriolefall/membership/member.hpp
@@ -67,6 +67,10 @@
 /// True for instances that take part in gossip: all but the dead.
 [[nodiscard]] bool takes_part(const member& value);
 
+/// True for those that take part and are known by more than the platform's
+/// list.
+[[nodiscard]] bool was_heard(const member& value);
+
 /// Digest of what is gossiped of a member; 0 for the dead.
 [[nodiscard]] std::uint64_t digest_of(const member& value);
 
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -244,9 +244,9 @@
     const auto tell_missing = [this](std::string_view event, const auto& from,
                                      const auto& in) {
         for (const membership::member& each : from)
-            if (membership::takes_part(each) &&
+            if (membership::was_heard(each) &&
                 std::ranges::none_of(in, [&each](const auto& other) {
-                    return other.id == each.id && membership::takes_part(other);
+                    return other.id == each.id && membership::was_heard(other);
                 }))
                 log_.write(event, {{"peer", each.id.value()}});
     };
