Use the pages of a first list as they come; send callers back when it can be otherwise

Cause: an instance read all pages of a first list before it used one server: at 300 instances and 3,000 servers (own site, all killed at 5 s) the first answer came 2.9 s after the processes were back.

--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -26,9 +26,13 @@
     absl::Duration report_interval = absl::Milliseconds(150);
     /// Instances that share budgets at least, before others are heard of.
     std::uint32_t least_instances = 1;
-    /// When a caller is to come back after a refusal that did not run.
-    absl::Duration come_back_soon = absl::Milliseconds(150);
-    absl::Duration come_back_later = absl::Milliseconds(400);
+    /// When a caller is to come back after a refusal that did not run. A
+    /// process without settings waits for the store, which is away for seconds;
+    /// servers that lapsed meanwhile are back within two.
+    absl::Duration come_back_without_settings = absl::Seconds(1);
+    absl::Duration come_back_without_server = absl::Milliseconds(500);
+    absl::Duration come_back_overloaded = absl::Milliseconds(400);
+    absl::Duration come_back_otherwise = absl::Milliseconds(150);
     /// Time over the limit of a route that an answer already under way gets.
     absl::Duration limit_grace = absl::Milliseconds(60);
     /// Least time left that makes a further call worth while.
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -372,15 +372,26 @@
     return budgets_.try_emplace(name, settings_.repeats).first->second;
 }
 
+absl::Duration dispatcher::come_back_base(refusal cause) const
+{
+    switch (cause) {
+    case refusal::no_settings:
+        return settings_.come_back_without_settings;
+    case refusal::no_server:
+        return settings_.come_back_without_server;
+    case refusal::overloaded:
+        return settings_.come_back_overloaded;
+    default:
+        return settings_.come_back_otherwise;
+    }
+}
+
 absl::Duration dispatcher::come_back(refusal cause)
 {
-    const absl::Duration base = cause == refusal::overloaded
-                                    ? settings_.come_back_later
-                                    : settings_.come_back_soon;
     // Spread, so that callers refused together don't return together.
     constexpr std::uint64_t steps = 1000;
     const double part = static_cast<double>(hooks_.random() % steps) / steps;
-    return base * (1 + part / 2);
+    return come_back_base(cause) * (1 + part / 2);
 }
 
 } // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -124,6 +124,7 @@
                    const std::optional<server_load>& load);
     [[nodiscard]] repeat_budget& budget_of(const routing::service_name& name);
     [[nodiscard]] std::uint32_t connection_share(const open_request&) const;
+    [[nodiscard]] absl::Duration come_back_base(refusal cause) const;
     [[nodiscard]] absl::Duration come_back(refusal cause);
     /// What the log gets of a request, with what is known of it now.
     [[nodiscard]] decision_note describe(const open_request& request,
--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -83,11 +83,20 @@
         listed_.insert_or_assign(object.name, object);
     if (page.has_more && !page.objects.empty()) {
         list_after_ = page.objects.back().name;
-        return false;
+        return show_first(page);
     }
     return finish_list(now);
 }
 
+bool collection_follower::show_first(const list_page& page)
+{
+    if (known_)
+        return false;
+    for (const stored_object& object : page.objects)
+        put(object);
+    return true;
+}
+
 bool collection_follower::finish_list(absl::Time now)
 {
     const collection_view before = view_;
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -73,6 +73,10 @@
     bool on(absl::Time now, const history_gone& gone);
     bool on(absl::Time now, const call_failed& failure);
     void note_answer(absl::Time now);
+    /// Until the collection was read whole once, each page is shown as it
+    /// comes: a few servers are better than none while hundreds of pages are
+    /// read.
+    bool show_first(const list_page& page);
     bool finish_list(absl::Time now);
     void remove(absl::Time now, const std::string& name);
     bool put(const stored_object& object);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -323,3 +323,21 @@
     world.arrive("unsafe");
     cr_assert_eq(world.last<send_call>()->server.value(), "d2");
 }
+
+Test(dispatcher, tells_callers_to_come_back_when_it_can_be_otherwise)
+{
+    // Without settings the store must come back first, for seconds.
+    dispatch_world world;
+    world.arrive("safe");
+    const auto* unsettled = world.last<dispatch::refuse>();
+    cr_assert_neq(unsettled, nullptr);
+    cr_assert(unsettled->not_run);
+    cr_assert_geq(unsettled->retry_after, absl::Seconds(1));
+    world.set_routes(some_routes(1));
+    world.set_servers({});
+    world.arrive("safe");
+    const auto* empty = world.last<dispatch::refuse>();
+    cr_assert_eq(empty->cause, dispatch::refusal::no_server);
+    cr_assert_geq(empty->retry_after, absl::Milliseconds(500));
+    cr_assert_lt(empty->retry_after, absl::Seconds(1));
+}
--- a/tests/observe/log_path_test.cpp
+++ b/tests/observe/log_path_test.cpp
@@ -64,6 +64,17 @@
     cr_assert(!mentions(path, "server=s2"));
 }
 
+Test(log_path, shows_settings_that_others_had_already)
+{
+    const auto path = find(
+        line("01", "a", "settings_in_force", ",\"version\":\"6\"") +
+            line("29", "b", "settings_in_force", ",\"version\":\"10\"") +
+            line("29", "b", "store_lost") + request("30", "a", "refused", "x"),
+        "x");
+    cr_assert(mentions(path, "b settings_in_force version=10"));
+    cr_assert(!mentions(path, "store_lost"));
+}
+
 Test(log_path, says_that_a_process_ended_before_its_request)
 {
     const auto path =
