--- a/oriolefall/observe/log_path.cpp
+++ b/oriolefall/observe/log_path.cpp
@@ -103,9 +103,11 @@
         const absl::Time at = time_of(line);
         const bool is_of_server =
             line.event == "server_out" || line.event == "server_back";
-        return contains(beliefs, line.event) &&
-               instances_.contains(line.instance) && at >= from_ && at <= to_ &&
-               (!is_of_server || servers_.contains(line.server));
+        // Others show what an instance had not heard yet.
+        const bool is_near = instances_.contains(line.instance) ||
+                             line.event == "settings_in_force";
+        return contains(beliefs, line.event) && is_near && at >= from_ &&
+               at <= to_ && (!is_of_server || servers_.contains(line.server));
     }
 
     /// The newest of each kind before the time shown.
