SIGHUP puts a new budget of repeats in force; check tells files apart by what is in them

- A settings file read again at SIGHUP changed nothing until the next start.
The budget of repeats now holds at once, counting what was taken; the log says whether anything else waits for the next start.
Test: repeat_budget/goes_by_new_settings_and_counts_what_was_taken.
- oriolefall check finds out whether a file is a deployment, an instance's settings or the users' platform's file, and names the faults of the last with their lines.
Test: check/finds_out_what_kind_of_file_it_is_given.
- Removed as unused: two refusals, one cause of a broken call.

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -64,8 +64,6 @@
     unknown_key,    ///< no workspace holds the key
     no_server,      ///< no backend server can be used now
     overloaded,     ///< the servers have no room in time
-    budget_spent,   ///< a further call would exceed the budget of repeats
-    leaving,        ///< this instance stops
     time_over,      ///< the time limit of the route or the caller came
     outcome_unknown ///< it may have run and no answer came
 };
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -266,6 +266,13 @@
     }
 }
 
+void dispatcher::on(const repeats_changed& event)
+{
+    settings_.repeats = event.repeats;
+    for (auto& [service, budget] : budgets_)
+        budget.set_settings(event.repeats);
+}
+
 void dispatcher::on(const fleet_changed& event)
 {
     instances_ = std::max(event.instances, settings_.least_instances);
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -82,6 +82,7 @@
     void on(const call_done& event);
     void on(const routes_changed& event);
     void on(const servers_changed& event);
+    void on(const repeats_changed& event);
     void on(const fleet_changed& event);
     void on(const load_heard& event);
     void on(const tick& event);
--- a/oriolefall/dispatch/event.cpp
+++ b/oriolefall/dispatch/event.cpp
@@ -13,8 +13,8 @@
 
 std::string_view to_string(broken_cause value)
 {
-    static constexpr std::array<std::string_view, 3> names{
-        "connection_lost", "malformed", "timed_out"};
+    static constexpr std::array<std::string_view, 2> names{"connection_lost",
+                                                           "malformed"};
     return names.at(static_cast<std::size_t>(value));
 }
 
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -3,6 +3,7 @@
 
 #include "oriolefall/core/ids.hpp"
 #include "oriolefall/dispatch/load_report.hpp"
+#include "oriolefall/dispatch/repeat_budget.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
 #include "oriolefall/routing/route_table.hpp"
 
@@ -79,8 +80,7 @@
 enum class broken_cause : std::uint8_t
 {
     connection_lost, ///< it closed or was reset
-    malformed,       ///< what came is no answer to this request
-    timed_out        ///< its time was over
+    malformed        ///< what came is no answer to this request
 };
 
 [[nodiscard]] std::string_view to_string(broken_cause value);
@@ -152,6 +152,13 @@
     std::strong_ordering operator<=>(const servers_changed&) const = default;
 };
 
+/// Another budget of repeats is in force.
+struct repeats_changed
+{
+    repeat_budget_settings repeats;
+    std::partial_ordering operator<=>(const repeats_changed&) const = default;
+};
+
 /// How many instances share budgets and connection limits.
 struct fleet_changed
 {
@@ -173,10 +180,10 @@
     auto operator<=>(const tick&) const = default;
 };
 
-using event =
-    std::variant<arrival, caller_left, call_not_run, call_broken, call_silent,
-                 call_answered, call_failed, call_done, routes_changed,
-                 servers_changed, fleet_changed, load_heard, tick>;
+using event = std::variant<arrival, caller_left, call_not_run, call_broken,
+                           call_silent, call_answered, call_failed, call_done,
+                           routes_changed, servers_changed, repeats_changed,
+                           fleet_changed, load_heard, tick>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/repeat_budget.cpp
+++ b/oriolefall/dispatch/repeat_budget.cpp
@@ -19,6 +19,11 @@
 {
 }
 
+void repeat_budget::set_settings(const repeat_budget_settings& settings)
+{
+    settings_ = settings;
+}
+
 void repeat_budget::note_request(absl::Time now)
 {
     forget(now);
--- a/oriolefall/dispatch/repeat_budget.hpp
+++ b/oriolefall/dispatch/repeat_budget.hpp
@@ -34,6 +34,8 @@
 public:
     explicit repeat_budget(const repeat_budget_settings& settings);
 
+    /// What was taken so far still counts.
+    void set_settings(const repeat_budget_settings& settings);
     void note_request(absl::Time now);
     /// Takes one repeat of the budget; false when nothing is left.
     [[nodiscard]] bool take(absl::Time now, std::uint32_t instances);
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -119,6 +119,12 @@
     pages_->stop();
 }
 
+void router::set_repeats(const dispatch::repeat_budget_settings& repeats)
+{
+    if (!decide_->tell(dispatch::repeats_changed{repeats}))
+        log_.write("repeats_not_told", {});
+}
+
 observe::line_log& router::log()
 {
     return log_;
--- a/oriolefall/router/run.cpp
+++ b/oriolefall/router/run.cpp
@@ -44,13 +44,21 @@
             if (error)
                 return;
             if (signal == SIGHUP)
-                running_.log().write("reload", {{"outcome", reload_()}});
+                reload();
             else
                 begin_stop();
             wait();
         });
     }
 
+    void reload()
+    {
+        const reload_result result = reload_();
+        running_.log().write("reload", {{"outcome", result.outcome}});
+        if (result.repeats)
+            running_.set_repeats(*result.repeats);
+    }
+
     void begin_stop()
     {
         if (std::exchange(stopping_, true))
--- a/oriolefall/router/run.hpp
+++ b/oriolefall/router/run.hpp
@@ -3,14 +3,26 @@
 
 #include "oriolefall/router/router_settings.hpp"
 
+#include <compare>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace oriolefall::router {
 
-/// Called at SIGHUP: reads the settings again and says what came of it, for
-/// the log.
-using reload_hook = std::function<std::string()>;
+/// What came of reading the settings again.
+struct reload_result
+{
+    /// For the log.
+    std::string outcome;
+    /// The budget of repeats that is in force from here on; nothing when it
+    /// stays.
+    std::optional<dispatch::repeat_budget_settings> repeats;
+    std::partial_ordering operator<=>(const reload_result&) const = default;
+};
+
+/// Called at SIGHUP: reads the settings again.
+using reload_hook = std::function<reload_result()>;
 
 /// Runs one instance until SIGTERM or SIGINT and stops it gracefully. Gives
 /// the exit status.
--- a/programs/oriolefall/check_command.cpp
+++ b/programs/oriolefall/check_command.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/settings/deployment.hpp"
 #include "oriolefall/settings/instance_settings.hpp"
+#include "oriolefall/settings/json_text.hpp"
+#include "platform/settings_file.hpp"
 #include "programs/oriolefall/command_line.hpp"
 #include "programs/oriolefall/commands.hpp"
 #include "programs/oriolefall/settings_file.hpp"
@@ -19,8 +21,10 @@
     command_line line;
     line.usage = "check [--instance] FILE...";
     line.description =
-        "Checks settings files: deployments, or with --instance the settings\n"
-        "of one instance. Prints one line for each fault and exits with 2.";
+        "Checks settings files: deployments, settings of one instance, and "
+        "the\n"
+        "users' platform's file of a process, told apart by what is in them.\n"
+        "Prints one line for each fault and exits with 2.";
     line.options.add_options()("instance", po::bool_switch(),
                                "the files are settings of one instance");
     line.positional_options.add_options()(
@@ -36,10 +40,45 @@
     return found == nullptr ? faults{} : *found;
 }
 
-faults check_text(const std::string& text, bool instance)
+enum class file_kind : unsigned char
 {
-    return instance ? faults_of(settings::parse_instance_settings(text))
-                    : faults_of(settings::parse_deployment(text));
+    deployment,
+    instance,
+    /// Lines of the form a.b=value.
+    platform
+};
+
+file_kind kind_of(const std::string& text)
+{
+    const auto parsed = settings::parse_json(text);
+    if (const auto* value = std::get_if<nlohmann::json>(&parsed))
+        return value->is_object() && value->contains("instance")
+                   ? file_kind::instance
+                   : file_kind::deployment;
+    const auto first = text.find_first_not_of(" \t\r\n");
+    const bool is_json = first == std::string::npos || text[first] == '{' ||
+                         text[first] == '[' || text[first] == '/';
+    return is_json ? file_kind::deployment : file_kind::platform;
+}
+
+faults check_text(const std::string& text, file_kind kind)
+{
+    return kind == file_kind::instance
+               ? faults_of(settings::parse_instance_settings(text))
+               : faults_of(settings::parse_deployment(text));
+}
+
+/// True when the file is sound.
+bool check_platform_file(const std::string& file, const std::string& text)
+{
+    const auto parsed = platform::parse_settings_file(text);
+    const auto* found =
+        std::get_if<std::vector<platform::settings_fault>>(&parsed);
+    if (found == nullptr)
+        return true;
+    for (const platform::settings_fault& fault : *found)
+        std::cout << file << ":" << fault.line << ": " << fault.message << '\n';
+    return false;
 }
 
 /// True when the file is sound.
@@ -50,11 +89,18 @@
         std::cerr << "oriolefall check: " << file << ": cannot be read\n";
         return false;
     }
-    const faults found = check_text(*text, instance);
-    print_faults(std::cout, file, found);
-    if (found.empty())
+    const file_kind kind = instance ? file_kind::instance : kind_of(*text);
+    bool is_sound = false;
+    if (kind == file_kind::platform) {
+        is_sound = check_platform_file(file, *text);
+    } else {
+        const faults found = check_text(*text, kind);
+        print_faults(std::cout, file, found);
+        is_sound = found.empty();
+    }
+    if (is_sound)
         std::cout << file << ": ok\n";
-    return found.empty();
+    return is_sound;
 }
 
 int run_check(const std::vector<std::string>& arguments)
--- a/tests/cli/check_test.cpp
+++ b/tests/cli/check_test.cpp
@@ -21,6 +21,22 @@
     cr_assert_eq(instance.exit_status, 0, "%s", instance.out.c_str());
 }
 
+Test(check, finds_out_what_kind_of_file_it_is_given)
+{
+    const program_result instance =
+        run_program({"check", source_file("examples/instance.jsonc")});
+    cr_assert_eq(instance.exit_status, 0, "%s", instance.out.c_str());
+    const temporary_file platform("first=1\n\nprovider.address=nowhere\n");
+    const program_result faults = run_program({"check", platform.name()});
+    cr_assert_eq(faults.exit_status, 2);
+    cr_assert(faults.out.find(platform.name() +
+                              ":3: provider.address is no address") !=
+                  std::string::npos,
+              "%s", faults.out.c_str());
+    // Fields that it doesn't know are the platform's to add.
+    cr_assert(faults.out.find("first") == std::string::npos);
+}
+
 Test(check, each_fault_is_one_line_with_file_path_found_and_allowed)
 {
     const temporary_file file(
--- a/tests/dispatch/parts_test.cpp
+++ b/tests/dispatch/parts_test.cpp
@@ -20,6 +20,20 @@
 
 } // namespace
 
+Test(repeat_budget, goes_by_new_settings_and_counts_what_was_taken)
+{
+    const absl::Time start = absl::UnixEpoch();
+    const absl::Duration window = absl::Seconds(10);
+    repeat_budget subject({0, window, 2, 1});
+    cr_assert(subject.take(start, 1));
+    subject.set_settings({0, window, 1, 1});
+    cr_assert_not(subject.take(start, 1));
+    subject.set_settings({0, window, 3, 1});
+    cr_assert(subject.take(start, 1));
+    cr_assert(subject.take(start, 1));
+    cr_assert_not(subject.take(start, 1));
+}
+
 Test(repeat_budget, holds_in_each_window_over_all_instances)
 {
     const bool holds = rc::check([] {
