--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <iterator>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace oriolefall::router {
@@ -199,14 +200,21 @@
 void router::on_servers(const follow::collection_view& view)
 {
     dispatch::servers_changed change = servers_.read(view);
-    const auto leaving = static_cast<std::size_t>(std::ranges::count_if(
-        *change.servers, [](const auto& entry) { return entry.leaving; }));
+    const auto leaving = std::ranges::count_if(
+        *change.servers, [](const auto& entry) { return entry.leaving; });
+    const auto ready =
+        std::ranges::count_if(*change.servers, [&change](const auto& entry) {
+            return !entry.leaving &&
+                   std::ranges::find(change.doubtful, entry.id) ==
+                       change.doubtful.end();
+        });
     const std::size_t doubtful = change.doubtful.size();
-    const std::size_t count = change.servers->size();
-    metrics_.set_servers(count - doubtful - leaving, leaving, doubtful);
-    log_.write("servers_known", {{"count", std::to_string(count)},
-                                 {"leaving", std::to_string(leaving)},
-                                 {"doubtful", std::to_string(doubtful)}});
+    metrics_.set_servers(static_cast<std::size_t>(ready),
+                         static_cast<std::size_t>(leaving), doubtful);
+    log_.write("servers_known",
+               {{"count", std::to_string(change.servers->size())},
+                {"leaving", std::to_string(leaving)},
+                {"doubtful", std::to_string(doubtful)}});
     const bool told = decide_->tell(std::move(change));
     has_servers_ = has_servers_ || told;
 }
@@ -247,17 +255,23 @@
 void router::log_members(const std::vector<membership::member>& before,
                          const std::vector<membership::member>& now)
 {
-    const auto tell_missing = [this](std::string_view event, const auto& from,
-                                     const auto& in) {
-        for (const membership::member& each : from)
-            if (membership::was_heard(each) &&
-                std::ranges::none_of(in, [&each](const auto& other) {
-                    return other.id == each.id && membership::was_heard(other);
-                }))
-                log_.write(event, {{"peer", each.id.value()}});
+    const auto heard = [](const std::vector<membership::member>& members) {
+        std::set<core::instance_id> ids;
+        for (const membership::member& each : members)
+            if (membership::was_heard(each))
+                ids.insert(each.id);
+        return ids;
     };
-    tell_missing("peer_lost", before, now);
-    tell_missing("peer_known", now, before);
+    const auto ids_before = heard(before);
+    const auto ids_now = heard(now);
+    const auto tell = [this](std::string_view event, const auto& from,
+                             const auto& without) {
+        for (const core::instance_id& each : from)
+            if (!without.contains(each))
+                log_.write(event, {{"peer", each.value()}});
+    };
+    tell("peer_lost", ids_before, ids_now);
+    tell("peer_known", ids_now, ids_before);
 }
 
 void router::tell_load(const dispatch::load_report& report)
