Test of the early answer: a server that reads nothing

Cause, by reading: the test's server drained the body while the answer waited to be read; once the whole body had been written the connection is rightly kept, and the second request went out on it, to a script that answers once. Ruled out: the lingering of the closed connection, as each connection of the test's server has a thread that drains it. The product is as it was.

--- a/tests/forward/forwarder_test.cpp
+++ b/tests/forward/forwarder_test.cpp
@@ -1,6 +1,9 @@
 #include "forward_world.hpp"
 #include "plain_protocol.hpp"
 
+#include <future>
+#include <string>
+
 #include <criterion/criterion.h>
 
 using namespace oriolefall;
@@ -199,23 +202,31 @@
 
 Test(forwarder, an_early_answer_ends_the_connection_to_the_server)
 {
-    // It answers before it has read the body, which is due there still.
-    scripted_server server([](script_connection& connection) {
-        connection.write(answer_bytes("r1", "early"));
-        connection.wait_for_close();
-    });
-    forward_world world(plain_protocol());
-    raw_caller caller(world.port());
-    const std::string long_body(std::size_t{3} << 20, 'x');
-    caller.send(request_bytes("r1", long_body));
-    world.send(world.next<dispatch::arrival>(), server);
-    caller.read_until("early");
-    world.next<dispatch::call_answered>();
-    world.next<dispatch::call_done>();
-    caller.send(request_bytes("r1"));
-    world.send(world.next<dispatch::arrival>(), server, 2);
-    world.next<dispatch::call_answered>();
-    cr_assert_eq(server.connections(), 2);
+    // It answers before it has read the body, which is due there still, and
+    // reads nothing, so that the kernel can't take the whole of it.
+    std::promise<void> over;
+    const auto held = over.get_future().share();
+    {
+        scripted_server server(
+            [held](script_connection& connection) {
+                connection.write(answer_bytes("r1", "early"));
+                held.wait();
+            },
+            4096);
+        forward_world world(plain_protocol());
+        raw_caller caller(world.port());
+        const std::string long_body(std::size_t{7} << 19, 'x');
+        caller.send(request_bytes("r1", long_body));
+        world.send(world.next<dispatch::arrival>(), server);
+        caller.read_until("early");
+        world.next<dispatch::call_answered>();
+        world.next<dispatch::call_done>();
+        caller.send(request_bytes("r1"));
+        world.send(world.next<dispatch::arrival>(), server, 2);
+        world.next<dispatch::call_answered>();
+        cr_assert_eq(server.connections(), 2);
+        over.set_value();
+    }
 }
 
 Test(forwarder, no_listener_means_not_run)
--- a/tests/forward/scripted_server.cpp
+++ b/tests/forward/scripted_server.cpp
@@ -79,13 +79,17 @@
     }
 }
 
-scripted_server::scripted_server(script script)
+scripted_server::scripted_server(script script, int receive_bytes)
     : script_(std::move(script)), listener_(::socket(AF_INET, SOCK_STREAM, 0))
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
+    // Connections that are accepted inherit it.
+    if (receive_bytes > 0)
+        ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                     sizeof(receive_bytes));
     if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
         ::listen(listener_, 64) != 0)
         throw std::runtime_error("cannot listen");
--- a/tests/forward/scripted_server.hpp
+++ b/tests/forward/scripted_server.hpp
@@ -38,7 +38,9 @@
 public:
     using script = std::function<void(script_connection&)>;
 
-    explicit scripted_server(script script);
+    /// `receive_bytes`: what the kernel takes for a connection that is not
+    /// read, about; 0 for its own choice.
+    explicit scripted_server(script script, int receive_bytes = 0);
     ~scripted_server();
     scripted_server(const scripted_server&) = delete;
     scripted_server& operator=(const scripted_server&) = delete;
