--- a/tests/adapter/soak/caller.cpp
+++ b/tests/adapter/soak/caller.cpp
@@ -249,7 +249,6 @@
     seen->how = ending::cut;
     error_code error;
     co_await http::async_write(held->stream, *asked, into(error));
-    seen->was_sent = !error;
     http::response_parser<http::string_body> parser;
     error_code read_error;
     co_await http::async_read(held->stream, held->buffer, parser,
--- a/tests/adapter/soak/ledger.hpp
+++ b/tests/adapter/soak/ledger.hpp
@@ -31,7 +31,6 @@
     std::string body;
     std::string workspace;
     time_point begun;
-    bool was_finished = false;
     bool was_failure = false;
     std::partial_ordering operator<=>(const run&) const = default;
 };
@@ -65,8 +64,6 @@
     /// Last event of a stream.
     unsigned events = 0;
     bool is_in_order = true;
-    /// All of the request was written.
-    bool was_sent = false;
     std::partial_ordering operator<=>(const attempt&) const = default;
 };
 
--- a/tests/adapter/soak/work_server.cpp
+++ b/tests/adapter/soak/work_server.cpp
@@ -65,11 +65,6 @@
     running_ = 0;
 }
 
-bool work_server::is_running() const
-{
-    return acceptor_ != nullptr;
-}
-
 task<void> work_server::accept()
 {
     const auto self = shared_from_this();
@@ -121,12 +116,12 @@
         co_await pause(hang_step);
     co_await pause(settings_.work *
                    (fault_ == server_fault::slow ? slow_times : 1));
+    const bool is_stream =
+        std::string(asked.target()).find("stream") != std::string::npos;
     bool goes_on = false;
-    if (fault_ == server_fault::loses_answers)
-        begun.was_finished = true;
-    else if (std::string(asked.target()).find("stream") != std::string::npos)
-        goes_on = co_await stream(socket, asked, begun);
-    else
+    if (is_stream && fault_ != server_fault::loses_answers)
+        goes_on = co_await stream(socket, asked);
+    else if (fault_ != server_fault::loses_answers)
         goes_on = co_await answer(socket, id, begun);
     running_ -= running_ > 0 ? 1 : 0;
     co_return goes_on;
@@ -167,14 +162,12 @@
         text = begun.was_failure ? "no answer in the protocol\r\n\r\n"
                                  : text + text;
     }
-    begun.was_finished = true;
     error_code error;
     co_await asio::async_write(*socket, asio::buffer(text), into(error));
     co_return !error;
 }
 
-task<bool> work_server::stream(const socket_ptr& socket, const request& asked,
-                               run& begun)
+task<bool> work_server::stream(const socket_ptr& socket, const request& asked)
 {
     const std::string id = field(asked, "Oriolefall-Attempt-Id");
     const std::string after = field(asked, "Last-Event-Id");
@@ -205,7 +198,6 @@
         if (breaks)
             co_return false;
     }
-    begun.was_finished = true;
     text = "0\r\n\r\n";
     co_await asio::async_write(*socket, asio::buffer(text), into(error));
     co_return !error;
--- a/tests/adapter/soak/work_server.hpp
+++ b/tests/adapter/soak/work_server.hpp
@@ -52,7 +52,6 @@
     void set_fault(server_fault fault);
     /// Ends at once: all connections are reset, nothing listens.
     void crash();
-    [[nodiscard]] bool is_running() const;
 
 private:
     using request = http::request<http::string_body>;
@@ -66,8 +65,7 @@
                       http::status status);
     task<bool> answer(const socket_ptr& socket, const std::string& id,
                       run& begun);
-    task<bool> stream(const socket_ptr& socket, const request& asked,
-                      run& begun);
+    task<bool> stream(const socket_ptr& socket, const request& asked);
     [[nodiscard]] std::string head(const std::string& id,
                                    const std::string& status) const;
 
