One piece for what stood twice: accepting, reading files, times of lines, lost callers

Ruled out as the same logic: decision::moving_average against the share of failures in dispatch::server_state (that one starts at 0 and is set back by halves), and the identical shapes of tables of names.

--- a/oriolefall/forward/caller_connection.cpp
+++ b/oriolefall/forward/caller_connection.cpp
@@ -68,10 +68,7 @@
     if (closed_)
         return;
     if (error) {
-        const bool was_open = state_ == state::open;
-        close();
-        if (was_open)
-            hooks_.left();
+        lose();
         return;
     }
     if (state_ == state::closing) {
@@ -187,10 +184,7 @@
     if (closed_)
         return;
     if (error) {
-        const bool was_open = state_ == state::open;
-        close();
-        if (was_open)
-            hooks_.left();
+        lose();
         return;
     }
     for (; writing_ > 0; --writing_) {
@@ -285,6 +279,14 @@
         close();
 }
 
+void caller_connection::lose()
+{
+    const bool was_open = state_ == state::open;
+    close();
+    if (was_open)
+        hooks_.left();
+}
+
 void caller_connection::close()
 {
     if (std::exchange(closed_, true))
--- a/oriolefall/forward/caller_connection.hpp
+++ b/oriolefall/forward/caller_connection.hpp
@@ -82,6 +82,8 @@
     void on_written(const error_code& error);
     void start_timer(std::chrono::milliseconds time);
     void on_time_over();
+    /// The connection broke: whoever waits for its request hears of it.
+    void lose();
     void close();
     /// Ends the sending side and waits for the caller's end, so that what was
     /// written is not lost to a reset.
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -18,8 +18,6 @@
 constexpr int accept_queue = 1024;
 /// Orders that wait for the forwarding thread at most.
 constexpr std::size_t action_capacity = 8192;
-/// Pause after a connection could not be accepted.
-constexpr std::chrono::milliseconds accept_pause{50};
 
 } // namespace
 
@@ -29,7 +27,7 @@
     loop(forward_settings settings, protocol_hooks protocol,
          forwarder_hooks hooks)
         : settings_(std::move(settings)), protocol_(std::move(protocol)),
-          hooks_(std::move(hooks)), acceptor_(context_), retry_(context_),
+          hooks_(std::move(hooks)), acceptor_(context_),
           servers_(context_, settings_), actions_(action_capacity)
     {
     }
@@ -47,7 +45,10 @@
 
     void run()
     {
-        accept();
+        net::keep_accepting(acceptor_, [this](tcp::socket socket) {
+            if (callers_.size() < settings_.most_callers)
+                add_caller(std::move(socket));
+        });
         const auto work = asio::make_work_guard(context_);
         context_.run();
         cut_all();
@@ -90,31 +91,6 @@
     using caller_ptr = std::shared_ptr<caller_connection>;
     using exchange_ptr = std::shared_ptr<exchange>;
 
-    void accept()
-    {
-        acceptor_.async_accept([this](const error_code& error,
-                                      tcp::socket socket) {
-            if (error == asio::error::operation_aborted || !acceptor_.is_open())
-                return;
-            if (error) {
-                accept_later();
-                return;
-            }
-            if (callers_.size() < settings_.most_callers)
-                add_caller(std::move(socket));
-            accept();
-        });
-    }
-
-    void accept_later()
-    {
-        retry_.expires_after(accept_pause);
-        retry_.async_wait([this](const error_code& stopped) {
-            if (!stopped)
-                accept();
-        });
-    }
-
     void add_caller(tcp::socket socket)
     {
         caller_hooks hooks;
@@ -237,7 +213,6 @@
     forwarder_hooks hooks_;
     asio::io_context context_{1};
     tcp::acceptor acceptor_;
-    asio::steady_timer retry_;
     server_connections servers_;
     action_ring actions_;
     std::atomic<bool> woken_ = false;
--- a/oriolefall/net/acceptor.hpp
+++ b/oriolefall/net/acceptor.hpp
@@ -4,6 +4,8 @@
 #include "oriolefall/core/backend_server.hpp"
 #include "oriolefall/net/beast.hpp"
 
+#include <functional>
+
 namespace oriolefall::net {
 
 /// Listens at `at`, also when connections of an earlier process linger there.
@@ -12,6 +14,12 @@
 [[nodiscard]] bool open_acceptor(tcp::acceptor& acceptor,
                                  const core::endpoint& at, int queue);
 
+/// Gives each connection that comes to `taken` until the acceptor is closed.
+/// When none can be had, for want of descriptors mostly, it tries again after a
+/// pause. The acceptor must outlive its context's work.
+void keep_accepting(tcp::acceptor& acceptor,
+                    std::function<void(tcp::socket)> taken);
+
 } // namespace oriolefall::net
 
 #endif
--- a/oriolefall/observe/json_log.cpp
+++ b/oriolefall/observe/json_log.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/observe/json_log.hpp"
 
 #include "oriolefall/core/text.hpp"
+#include "oriolefall/observe/time_text.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -72,8 +73,7 @@
 
 void write_log(log_level level, const std::string& members)
 {
-    const std::string time = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ",
-                                              absl::Now(), absl::UTCTimeZone());
+    const std::string time = time_text(absl::Now());
     BOOST_LOG_SEV(logger(), level) << absl::StrCat(
         R"({"time":")", time, R"(","level":")",
         core::to_absl(level_names[static_cast<std::size_t>(level)]), R"(",)",
--- a/oriolefall/observe/line_log.cpp
+++ b/oriolefall/observe/line_log.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/observe/line_log.hpp"
 
+#include "oriolefall/observe/time_text.hpp"
+
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
@@ -46,8 +48,7 @@
                               std::span<const log_field> fields) const
 {
     nlohmann::ordered_json line;
-    line["at"] =
-        absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", at, absl::UTCTimeZone());
+    line["at"] = time_text(at);
     line["instance"] = settings_.instance;
     line["event"] = event;
     std::ranges::for_each(fields, [&line](const log_field& field) {
--- a/oriolefall/router/page_duty.cpp
+++ b/oriolefall/router/page_duty.cpp
@@ -12,8 +12,6 @@
 constexpr std::chrono::seconds idle_limit{20};
 constexpr std::uint32_t longest_head = 8192;
 constexpr int accept_queue = 256;
-/// Pause after a connection could not be accepted.
-constexpr std::chrono::milliseconds accept_pause{50};
 
 } // namespace
 
@@ -87,7 +85,9 @@
     auto made = std::make_unique<tcp::acceptor>(context_);
     if (!net::open_acceptor(*made, at, accept_queue))
         return false;
-    accept(*made);
+    net::keep_accepting(*made, [this](tcp::socket socket) {
+        std::make_shared<session>(std::move(socket), pages_)->read();
+    });
     acceptors_.push_back(std::move(made));
     return true;
 }
@@ -103,24 +103,4 @@
     thread_.reset();
 }
 
-void page_duty::accept(tcp::acceptor& acceptor)
-{
-    acceptor.async_accept(
-        [this, &acceptor](const error_code& error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted)
-                return;
-            if (!error) {
-                std::make_shared<session>(std::move(socket), pages_)->read();
-                accept(acceptor);
-                return;
-            }
-            const auto pause = std::make_shared<asio::steady_timer>(context_);
-            pause->expires_after(accept_pause);
-            pause->async_wait([this, &acceptor, pause](const error_code& stop) {
-                if (!stop)
-                    accept(acceptor);
-            });
-        });
-}
-
 } // namespace oriolefall::router
--- a/oriolefall/router/page_duty.hpp
+++ b/oriolefall/router/page_duty.hpp
@@ -44,7 +44,6 @@
 
 private:
     class session;
-    void accept(tcp::acceptor& acceptor);
 
     page_hook pages_;
     asio::io_context context_{1};
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -40,6 +40,10 @@
       servers_(hooks_.parse_server)
 {
     settings_.dispatch.most_open = settings_.forward.most_open;
+    const auto note = [this](const auto& value) {
+        metrics_.note(value);
+        requests_.note(absl::Now(), value);
+    };
     decide_ = std::make_unique<decide_duty>(
         settings_.dispatch,
         dispatch::dispatch_hooks{
@@ -49,14 +53,7 @@
             [this](const dispatch::action& action) {
                 return forward_->give(action);
             },
-            [this](const dispatch::decision_note& value) {
-                metrics_.note(value);
-                requests_.note(absl::Now(), value);
-            },
-            [this](const dispatch::server_note& value) {
-                metrics_.note(value);
-                requests_.note(absl::Now(), value);
-            },
+            note, note,
             [this](const dispatch::load_report& report) { tell_load(report); }},
         events_per_request * settings_.forward.most_open);
     forward_ = std::make_unique<forward::forwarder>(
--- a/programs/oriolefall/check_command.cpp
+++ b/programs/oriolefall/check_command.cpp
@@ -84,7 +84,7 @@
 /// True when the file is sound.
 bool check_file(const std::string& file, bool instance)
 {
-    const auto text = read_file(file);
+    const auto text = core::read_file(file);
     if (!text) {
         std::cerr << "oriolefall check: " << file << ": cannot be read\n";
         return false;
--- a/programs/oriolefall/move_command.cpp
+++ b/programs/oriolefall/move_command.cpp
@@ -65,7 +65,7 @@
 int run_create(const po::variables_map& values, const platform_access& access)
 {
     const auto& file = values["file"].as<std::string>();
-    const auto text = read_file(file);
+    const auto text = core::read_file(file);
     if (!text)
         return report_bad_input("move create", file + ": cannot be read");
     const auto client = make_client(access);
--- a/programs/oriolefall/settings_command.cpp
+++ b/programs/oriolefall/settings_command.cpp
@@ -80,7 +80,7 @@
         return report_bad_input("settings put",
                                 wanted.path + " is not /teams/TEAM/NAME");
     const auto& file = values["file"].as<std::string>();
-    const auto text = read_file(file);
+    const auto text = core::read_file(file);
     if (!text)
         return report_bad_input("settings put", file + ": cannot be read");
     wanted.team = *team;
--- a/programs/oriolefall/settings_file.hpp
+++ b/programs/oriolefall/settings_file.hpp
@@ -1,6 +1,7 @@
 #ifndef ORIOLEFALL_PROGRAMS_SETTINGS_FILE_HPP
 #define ORIOLEFALL_PROGRAMS_SETTINGS_FILE_HPP
 
+#include "oriolefall/core/read_file.hpp"
 #include "oriolefall/core/settings_error.hpp"
 
 #include <iostream>
@@ -12,9 +13,6 @@
 
 namespace oriolefall::programs {
 
-/// The text of a file; nothing when it cannot be read.
-[[nodiscard]] std::optional<std::string> read_file(const std::string& name);
-
 /// Prints each fault of `file` on `out`, a line each: file, path of the
 /// setting, what was found, what is allowed.
 void print_faults(std::ostream& out, const std::string& file,
@@ -27,7 +25,7 @@
 [[nodiscard]] auto load_settings(const std::string& file, Parse parse)
     -> std::optional<std::variant_alternative_t<0, decltype(parse(file))>>
 {
-    const auto text = read_file(file);
+    const auto text = core::read_file(file);
     if (!text) {
         std::cerr << "oriolefall: " << file << ": cannot be read\n";
         return std::nullopt;
--- a/tests/adapter/soak/caller.cpp
+++ b/tests/adapter/soak/caller.cpp
@@ -1,5 +1,7 @@
 #include "tests/adapter/soak/caller.hpp"
 
+#include "tests/adapter/soak/page_call.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -9,7 +11,6 @@
 
 namespace {
 
-constexpr milliseconds directory_limit{1000};
 constexpr milliseconds connect_limit{1000};
 constexpr milliseconds retry_pause{150};
 constexpr milliseconds resolve_pause{100};
@@ -107,22 +108,12 @@
 {
     const auto& asked =
         settings_.instances[random_() % settings_.instances.size()];
-    boost::beast::tcp_stream stream(context_);
-    stream.expires_after(directory_limit);
-    error_code error;
-    co_await stream.async_connect(asked.directory, into(error));
-    http::request<http::empty_body> question(
-        http::verb::get, "/resolve?name=soak.example&region=north&zone=north-a",
-        http_1_1);
-    question.set(http::field::host, "directory");
-    if (!error)
-        co_await http::async_write(stream, question, into(error));
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> told;
-    if (!error)
-        co_await http::async_read(stream, buffer, told, into(error));
-    const auto body = nlohmann::json::parse(told.body(), nullptr, false);
-    if (error || !body.is_object() || !body.contains("addresses")) {
+    const auto told = co_await ask_page(
+        asked.directory,
+        "/resolve?name=soak.example&region=north&zone=north-a");
+    const auto body =
+        nlohmann::json::parse(told ? told->body() : "", nullptr, false);
+    if (!body.is_object() || !body.contains("addresses")) {
         // What is known is kept until something newer can be had.
         addresses_until_ = clock::now() + resolve_pause;
         co_return;
--- a/tests/adapter/soak/soak.cpp
+++ b/tests/adapter/soak/soak.cpp
@@ -1,5 +1,7 @@
 #include "tests/adapter/soak/soak.hpp"
 
+#include "tests/adapter/soak/page_call.hpp"
+
 #include <csignal>
 #include <utility>
 
@@ -18,7 +20,6 @@
 constexpr milliseconds in_force_within{2500};
 constexpr milliseconds time_excess{2000};
 constexpr unsigned status_ok = 200;
-constexpr unsigned http_1_1 = 11;
 
 store_fault store_fault_of(disruption what)
 {
@@ -184,22 +185,9 @@
 
 task<bool> soak::is_ready(std::string address)
 {
-    boost::beast::tcp_stream stream(context_);
-    stream.expires_after(std::chrono::seconds(1));
-    error_code error;
-    co_await stream.async_connect(
-        tcp::endpoint(asio::ip::make_address(address), ready_port),
-        into(error));
-    http::request<http::empty_body> question(http::verb::get, "/ready",
-                                             http_1_1);
-    question.set(http::field::host, "ready");
-    if (!error)
-        co_await http::async_write(stream, question, into(error));
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> told;
-    if (!error)
-        co_await http::async_read(stream, buffer, told, into(error));
-    co_return !error && told.result_int() == status_ok;
+    const auto told = co_await ask_page(
+        {asio::ip::make_address(address), ready_port}, "/ready");
+    co_return told && told->result_int() == status_ok;
 }
 
 task<void> soak::watch(member& each)
--- a/tests/forward/forwarder_test.cpp
+++ b/tests/forward/forwarder_test.cpp
@@ -52,6 +52,18 @@
     world.order(stream_call(order));
 }
 
+/// A server that answers the requests "r1" and "r2" on one connection.
+scripted_server::script answers_two()
+{
+    return [](script_connection& connection) {
+        for (const std::string name : {"r1", "r2"}) {
+            connection.read_request();
+            connection.write(answer_bytes(name, name));
+        }
+        connection.wait_for_close();
+    };
+}
+
 } // namespace
 
 Test(forwarder, passes_a_whole_answer_on_unchanged)
@@ -72,13 +84,7 @@
 
 Test(forwarder, keeps_both_connections_for_the_next_request)
 {
-    scripted_server server([](script_connection& connection) {
-        for (const std::string name : {"r1", "r2"}) {
-            connection.read_request();
-            connection.write(answer_bytes(name, name));
-        }
-        connection.wait_for_close();
-    });
+    scripted_server server(answers_two());
     forward_world world(plain_protocol());
     raw_caller caller(world.port());
     for (const std::string name : {"r1", "r2"}) {
@@ -93,13 +99,7 @@
 
 Test(forwarder, two_requests_that_come_together_are_taken_in_order)
 {
-    scripted_server server([](script_connection& connection) {
-        for (const std::string name : {"r1", "r2"}) {
-            connection.read_request();
-            connection.write(answer_bytes(name, name));
-        }
-        connection.wait_for_close();
-    });
+    scripted_server server(answers_two());
     forward_world world(plain_protocol());
     raw_caller caller(world.port());
     caller.send(request_bytes("r1") + request_bytes("r2"));
