decision: name each kind of step, checked by the compiler

Cause: to_string(step_kind) had 8 names for 9 kinds, so an instance of `serve` aborted at the first minimum share that it granted. Change: a switch over all kinds, which -Wall -Werror keeps complete.

--- a/oriolefall/decision/action.cpp
+++ b/oriolefall/decision/action.cpp
@@ -1,19 +1,30 @@
 #include "oriolefall/decision/action.hpp"
 
-#include <array>
-#include <cassert>
-#include <cstddef>
-
 namespace oriolefall::decision {
 
 std::string_view to_string(step_kind kind)
 {
-    constexpr std::array<std::string_view, 8> names{
-        "queued",  "placed", "retried", "resumed",
-        "ejected", "probed", "refused", "cancelled"};
-    const auto index = static_cast<std::size_t>(kind);
-    assert(index < names.size());
-    return names[index];
+    switch (kind) {
+    case step_kind::queued:
+        return "queued";
+    case step_kind::placed:
+        return "placed";
+    case step_kind::retried:
+        return "retried";
+    case step_kind::resumed:
+        return "resumed";
+    case step_kind::ejected:
+        return "ejected";
+    case step_kind::probed:
+        return "probed";
+    case step_kind::refused:
+        return "refused";
+    case step_kind::cancelled:
+        return "cancelled";
+    case step_kind::share_granted:
+        return "share_granted";
+    }
+    return "unknown";
 }
 
 bool has_cause(step_kind kind)
