forward: bound what a backend server may send that is no answer

Cause: an event, a chunk extension, interim answers, answers to other requests and the body of a refusal could go on without end. The memory of the first two grew with them, and all of them held the request until its deadline. Change: events have a size limit, unparsed bytes, interim answers and discarded bytes too. A refusal whose body goes on is reported as not run at once.

--- a/oriolefall/forward/event_splitter.cpp
+++ b/oriolefall/forward/event_splitter.cpp
@@ -81,6 +81,11 @@
     return event_count_;
 }
 
+std::size_t event_splitter::pending_bytes() const
+{
+    return buffer_.size();
+}
+
 std::size_t event_splitter::find_event_end(std::size_t from) const
 {
     const auto lf = buffer_.find("\n\n", from);
--- a/oriolefall/forward/event_splitter.hpp
+++ b/oriolefall/forward/event_splitter.hpp
@@ -29,6 +29,8 @@
     [[nodiscard]] std::optional<std::uint64_t> last_event_id() const;
     /// Number of complete events returned so far.
     [[nodiscard]] std::uint32_t event_count() const;
+    /// Bytes of an event that is not complete.
+    [[nodiscard]] std::size_t pending_bytes() const;
 
 private:
     [[nodiscard]] std::size_t find_event_end(std::size_t from) const;
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -38,6 +38,7 @@
     buffered_body_.clear();
     has_reported_answer_ = false;
     splitter_ = event_splitter(splitter_.last_event_id());
+    discarded_bytes_ = 0;
     sent_at_ = core::monotonic_now();
     last_event_at_ = absl::InfiniteFuture();
     start_stall_timer(action.first_event_timeout);
@@ -176,6 +177,8 @@
     switch (forwarding_) {
     case forwarding::events:
         forward_events(splitter_.feed(bytes));
+        if (splitter_.pending_bytes() > dependencies_.settings.max_event_bytes)
+            on_failed(call_error::malformed);
         break;
     case forwarding::buffered:
         buffered_body_ += bytes;
@@ -186,22 +189,33 @@
     case forwarding::streamed:
         write_body(bytes);
         break;
+    case forwarding::discarded:
+        discarded_bytes_ += bytes.size();
+        if (discarded_bytes_ > dependencies_.settings.max_buffered_answer_bytes)
+            report_not_run();
+        break;
     default:
         break;
     }
 }
 
+void exchange::report_not_run()
+{
+    const core::call_id call = current_call_->call;
+    const auto cause = head_info_.wrong_server
+                           ? dispatch::not_run_cause::wrong_server
+                           : dispatch::not_run_cause::refused;
+    abort_call();
+    dependencies_.report(
+        dispatch::call_not_run{id_, call, cause, head_info_.load});
+}
+
 void exchange::on_done()
 {
     const core::call_id call = current_call_->call;
     server_.reset();
     if (forwarding_ == forwarding::discarded) {
-        const auto cause = head_info_.wrong_server
-                               ? dispatch::not_run_cause::wrong_server
-                               : dispatch::not_run_cause::refused;
-        current_call_.reset();
-        dependencies_.report(
-            dispatch::call_not_run{id_, call, cause, head_info_.load});
+        report_not_run();
         return;
     }
     if (forwarding_ == forwarding::events) {
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -76,6 +76,8 @@
     void apply_backpressure();
     void abort_call();
     void finish(bool keep_alive);
+    /// The server has said that it did not run the request.
+    void report_not_run();
     void report_broken(dispatch::broken_cause cause);
     /// Checks after `timeout` whether the call has stalled.
     void start_stall_timer(absl::Duration timeout);
@@ -91,6 +93,8 @@
     answer_head answer_head_;
     answer_head_info head_info_;
     std::string buffered_body_;
+    /// Bytes received after such an answer's head.
+    std::size_t discarded_bytes_ = 0;
     event_splitter splitter_;
     body_framing framing_;
     forwarding forwarding_ = forwarding::undecided;
--- a/oriolefall/forward/forward_settings.hpp
+++ b/oriolefall/forward/forward_settings.hpp
@@ -27,6 +27,8 @@
     /// An answer that is no event stream is buffered until it is complete, up
     /// to this size.
     std::size_t max_buffered_answer_bytes = std::size_t{128} * 1024;
+    /// Maximum size of one event of a stream.
+    std::size_t max_event_bytes = std::size_t{1024} * 1024;
     /// Maximum size of further requests that are read while one is open.
     std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
     std::chrono::milliseconds connect_timeout{700};
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -16,6 +16,11 @@
 /// Maximum number of answers to other requests that are discarded during one
 /// call.
 constexpr unsigned max_discarded_answers = 2;
+constexpr std::size_t max_discarded_bytes = std::size_t{1024} * 1024;
+constexpr unsigned max_interim_answers = 8;
+/// Maximum size of what is neither a header nor a body, such as the extensions
+/// of a chunk.
+constexpr std::size_t max_unparsed_bytes = 2 * max_head_bytes;
 
 } // namespace
 
@@ -52,6 +57,7 @@
     call_ = std::make_shared<const call_hooks>(std::move(hooks));
     body_ = std::move(body);
     discarded_answers_ = 0;
+    discarded_bytes_ = 0;
     reset_parser();
     send();
 }
@@ -194,17 +200,23 @@
             return;
         }
         if (error || consumed == 0)
-            return;
+            break;
     }
+    if (buffer_.size() > max_unparsed_bytes)
+        fail(call_error::malformed);
 }
 
 bool server_connection::handle_head()
 {
     const auto& head = parser_->get();
     if (head.result_int() / 100 == 1) {
-        reset_parser();
+        if (++interim_answers_ > max_interim_answers)
+            fail(call_error::malformed);
+        else
+            reset_parser();
         return false;
     }
+    interim_answers_ = 0;
     is_head_delivered_ = true;
     const auto call = call_;
     is_answer_discarded_ = !call->on_head(head.base());
@@ -219,8 +231,13 @@
     std::string bytes;
     bytes.swap(body);
     const auto call = call_;
-    if (!is_answer_discarded_)
+    if (!is_answer_discarded_) {
         call->on_body(bytes);
+        return;
+    }
+    discarded_bytes_ += bytes.size();
+    if (discarded_bytes_ > max_discarded_bytes)
+        fail(call_error::malformed);
 }
 
 void server_connection::finish_answer()
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -112,6 +112,10 @@
     bool is_paused_ = false;
     bool is_head_delivered_ = false;
     bool is_answer_discarded_ = false;
+    /// Interim answers before the current answer.
+    unsigned interim_answers_ = 0;
+    /// Bytes of answers to other requests, during the current call.
+    std::size_t discarded_bytes_ = 0;
     bool is_closed_ = false;
 };
 
