dispatch: keep streams with short pauses clear of long prompts

Cause: an engine that reads a prompt in chunks makes events several times more slowly. Change: large pools are divided into two lanes by a hash of the engine, in proportion to the work of each kind, averaged over linked instances and moved by late first events. A lane that is full flows over into the other. Short shared parts are no longer kept at two engines, as a hot one overloads them.

--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -22,6 +22,7 @@
     retry_budget_settings retry_budget;
     ejection_settings ejection;
     placement_settings placement;
+    lane_settings lanes;
     /// Time between two load reports to the other instances.
     absl::Duration report_interval = absl::Milliseconds(150);
     /// Minimum number of instances that share retry budgets and connection
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -177,9 +177,7 @@
         server->record_prefill(request->call->uncached_tokens);
         request->call->is_prefilled = true;
         if (request->is_engine)
-            server->record_first_event(
-                request->call->expected_ms,
-                absl::ToDoubleMilliseconds(now_ - request->call->sent_at));
+            record_first_event(*request, *server);
         if (event.status < first_server_error)
             record_outcome(*server, &server_state::record_success);
     }
@@ -212,6 +210,8 @@
     if (request == nullptr)
         return;
     log_answered(*request, event);
+    if (request->is_engine)
+        record_engine_work(*request);
     finish_call(*request);
     erase_request(event.id);
 }
@@ -263,6 +263,36 @@
     request.call.reset();
 }
 
+void dispatcher::record_first_event(const open_request& request,
+                                    server_state& server)
+{
+    const absl::Duration elapsed = now_ - request.call->sent_at;
+    server.record_first_event(request.call->expected_ms,
+                              absl::ToDoubleMilliseconds(elapsed));
+    engine_lanes& lanes = pool_of(request.service).lanes();
+    lanes.record_first_event(
+        lanes.lane_of(*request.route),
+        absl::FDivDuration(elapsed, request.route->latency_target));
+}
+
+/// The work is the prefill of the prompt and the share of a slot in the steps
+/// that make the events.
+void dispatcher::record_engine_work(const open_request& request)
+{
+    const open_call& call = *request.call;
+    const auto* service = request.table->find_service(request.service);
+    const double slots = service != nullptr && service->engine
+                             ? std::max<double>(service->engine->slots, 1)
+                             : 1;
+    const double prefill_ms =
+        call.uncached_tokens / settings_.lanes.prefill_tokens_per_ms;
+    const double stream_ms =
+        absl::ToDoubleMilliseconds(now_ - call.answer_started_at);
+    engine_lanes& lanes = pool_of(request.service).lanes();
+    lanes.record_work(now_, lanes.lane_of(*request.route),
+                      prefill_ms + stream_ms / slots);
+}
+
 void dispatcher::cancel_open_call(open_request& request)
 {
     if (!request.call)
@@ -306,7 +336,11 @@
 
 service_pool& dispatcher::pool_of(const routing::service_name& name)
 {
-    return pools_.try_emplace(name).first->second;
+    const auto [found, is_new] =
+        pools_.try_emplace(name, settings_.lanes, settings_.placement);
+    if (is_new && table_)
+        found->second.lanes().set_routes(table_->settings(), name);
+    return found->second;
 }
 
 retry_budget& dispatcher::retry_budget_of(const routing::service_name& name)
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -120,7 +120,8 @@
     query.body_bytes = request.arrival_event.body_bytes;
     query.own_region = settings_.own_region;
     query.now = now_;
-    const auto views = pool.views(query.prompt, peer_load_);
+    query.lane = pool.lanes().lane_of(*request.route);
+    const auto views = pool.views(query, peer_load_, hooks_.random());
 
     const server_view* best = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
--- a/oriolefall/dispatch/dispatcher_records.cpp
+++ b/oriolefall/dispatch/dispatcher_records.cpp
@@ -4,6 +4,12 @@
 
 namespace oriolefall::dispatch {
 
+namespace {
+
+constexpr double permille = 1000;
+
+} // namespace
+
 void dispatcher::report_load()
 {
     if (requests_.empty() && now_ < next_report_at_)
@@ -18,6 +24,15 @@
             report.servers.push_back(
                 {id, server->own_calls(),
                  static_cast<std::uint32_t>(server->own_backlog_tokens())});
+    for (auto& [name, pool] : pools_) {
+        engine_lanes& lanes = pool.lanes();
+        if (!lanes.is_divided())
+            continue;
+        lanes.set_peer_share(peer_load_.mean_lane_share(name));
+        report.lanes.push_back(
+            {name,
+             static_cast<std::uint32_t>(permille * lanes.short_pause_share())});
+    }
     next_report_at_ = requests_.empty() ? absl::InfiniteFuture()
                                         : now_ + settings_.report_interval;
     actions_->push_back(send_load_report{std::move(report)});
--- a/oriolefall/dispatch/dispatcher_updates.cpp
+++ b/oriolefall/dispatch/dispatcher_updates.cpp
@@ -19,6 +19,8 @@
                               event.table->settings()))
         return;
     table_ = event.table;
+    for (auto& [name, pool] : pools_)
+        pool.lanes().set_routes(table_->settings(), name);
     update_cache_capacities();
 }
 
--- a/oriolefall/dispatch/peer_load.cpp
+++ b/oriolefall/dispatch/peer_load.cpp
@@ -34,6 +34,25 @@
     return found == server_totals_.end() ? totals{} : found->second;
 }
 
+std::optional<double>
+peer_load::mean_lane_share(const routing::service_name& service) const
+{
+    constexpr double permille = 1000;
+    double sum = 0;
+    std::size_t count = 0;
+    for (const auto& [from, each] : reports_) {
+        for (const lane_share& lane : each.report.lanes) {
+            if (lane.service != service)
+                continue;
+            sum += lane.permille / permille;
+            ++count;
+        }
+    }
+    if (count == 0)
+        return std::nullopt;
+    return sum / static_cast<double>(count);
+}
+
 void peer_load::recompute_totals()
 {
     server_totals_.clear();
--- a/oriolefall/dispatch/peer_load.hpp
+++ b/oriolefall/dispatch/peer_load.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace oriolefall::dispatch {
 
@@ -30,6 +31,10 @@
     /// Drops reports that are too old. Call it before reading the totals.
     void expire_reports(absl::Time now);
 
+    /// Mean of the reported lane shares of a service; empty without reports.
+    [[nodiscard]] std::optional<double>
+    mean_lane_share(const routing::service_name& service) const;
+
     /// Calls and backlog of the other instances at a server.
     [[nodiscard]] totals at_server(const core::backend_server_id& server) const;
 
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -37,6 +37,16 @@
            slots;
 }
 
+double lane_cost(const placement_settings& settings,
+                 const placement_query& query, const server_view& view)
+{
+    if (!view.is_other_lane)
+        return 0;
+    return query.lane == stream_lane::short_pauses
+               ? settings.short_pauses_in_other_lane_ms
+               : settings.long_prompt_in_other_lane_ms;
+}
+
 double affinity_share(const placement_settings& settings, unsigned rank)
 {
     if (rank == 0)
@@ -57,7 +67,8 @@
         if (!query.is_engine)
             return cross_region + warm_up +
                    settings.plain_call_ms * plain_load(view, query.now);
-        return cross_region + warm_up + engine_cost(settings, query, view);
+        return cross_region + warm_up + lane_cost(settings, query, view) +
+               engine_cost(settings, query, view);
     };
 }
 
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef ORIOLEFALL_DISPATCH_PLACEMENT_HPP
 #define ORIOLEFALL_DISPATCH_PLACEMENT_HPP
 
+#include "oriolefall/dispatch/engine_lanes.hpp"
 #include "oriolefall/dispatch/event.hpp"
 #include "oriolefall/dispatch/server_state.hpp"
 
@@ -39,6 +40,13 @@
     /// prompt there, since other instances have.
     double first_affinity_share = 1.0;
     double second_affinity_share = 0.3;
+    /// Shared tokens from which on a prompt is kept at its affinity servers
+    /// where the engines are divided into lanes.
+    std::uint32_t min_affinity_tokens = 1000;
+    /// Cost of an engine of the other lane, in ms: for a stream with short
+    /// pauses, and for a long prompt, which delays several such streams.
+    double short_pauses_in_other_lane_ms = 120;
+    double long_prompt_in_other_lane_ms = 400;
     std::partial_ordering
     operator<=>(const placement_settings&) const = default;
 };
@@ -48,6 +56,7 @@
 {
     std::span<const prompt_part> prompt;
     bool is_engine = false;
+    stream_lane lane = stream_lane::long_prompts;
     std::uint32_t body_bytes = 0;
     /// Region of this instance.
     core::region_name own_region;
@@ -64,6 +73,8 @@
     /// Load reported by the other instances.
     double other_calls = 0;
     double other_backlog_tokens = 0;
+    /// The engine belongs to the lane that the request does not.
+    bool is_other_lane = false;
 };
 
 /// The cost of sending the request to the server, in ms. The server with the
--- a/oriolefall/dispatch/service_pool.hpp
+++ b/oriolefall/dispatch/service_pool.hpp
@@ -1,10 +1,12 @@
 #ifndef ORIOLEFALL_DISPATCH_SERVICE_POOL_HPP
 #define ORIOLEFALL_DISPATCH_SERVICE_POOL_HPP
 
+#include "oriolefall/dispatch/engine_lanes.hpp"
 #include "oriolefall/dispatch/peer_load.hpp"
 #include "oriolefall/dispatch/placement.hpp"
 #include "oriolefall/dispatch/server_state.hpp"
 
+#include <cstdint>
 #include <span>
 #include <vector>
 
@@ -14,17 +16,31 @@
 class service_pool
 {
 public:
+    service_pool(const lane_settings& lanes,
+                 const placement_settings& placement);
+
     /// The servers must stay valid until the next call of this function.
     void set_servers(std::vector<server_state*> servers);
+    engine_lanes& lanes();
 
-    /// Views of all servers for the placement of a request with this prompt.
-    [[nodiscard]] std::vector<server_view>
-    views(std::span<const prompt_part> prompt, const peer_load& peers) const;
+    /// Views of all servers for the placement of a request. `random` chooses
+    /// among the servers that are equally good for a prompt.
+    [[nodiscard]] std::vector<server_view> views(const placement_query& query,
+                                                 const peer_load& peers,
+                                                 std::uint64_t random) const;
     /// Mean slowness of the servers; 1 if there are none.
     [[nodiscard]] double mean_slowness() const;
 
 private:
-    std::vector<server_state*> servers_;
+    struct pooled_server
+    {
+        server_state* state = nullptr;
+        double lane_position = 0;
+    };
+
+    placement_settings placement_;
+    engine_lanes lanes_;
+    std::vector<pooled_server> servers_;
 };
 
 } // namespace oriolefall::dispatch
--- a/tests/dispatch/dispatch_components_test.cpp
+++ b/tests/dispatch/dispatch_components_test.cpp
@@ -121,8 +121,8 @@
 {
     peer_load load;
     const core::backend_server_id server("e1");
-    load.update(start, core::instance_id("a"), {{{server, 2, 100}}});
-    load.update(start, core::instance_id("b"), {{{server, 4, 300}}});
+    load.update(start, core::instance_id("a"), {{{server, 2, 100}}, {}});
+    load.update(start, core::instance_id("b"), {{{server, 4, 300}}, {}});
     cr_assert_eq(load.at_server(server).calls, 6);
     cr_assert_eq(load.at_server(server).backlog_tokens, 400);
     load.update(start, core::instance_id("a"), {});
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -280,8 +280,9 @@
 Test(dispatcher, avoids_a_plain_server_loaded_by_another_instance)
 {
     two_server_simulation simulation;
-    simulation.step(load_report_received{
-        core::instance_id("other"), {{{core::backend_server_id("d1"), 8, 0}}}});
+    simulation.step(
+        load_report_received{core::instance_id("other"),
+                             {{{core::backend_server_id("d1"), 8, 0}}, {}}});
     simulation.receive_request("safe");
     cr_assert_eq(simulation.last<send_call>()->server.value(), "d2");
 }
