follow: a few instances of each region read the store for the others

Change: in fleets beyond the full mesh two watchers a region, at least one in each of its failure domains, watch the store; the others query them twice a second over the inner protocol. An answer is as old as its sender's last confirmation by the store plus the time since the query was sent. A view that isn't confirmed within 1.5 to 2 s is watched at the store. First lists and lists of instances may be stale, and an instance that is listed unchanged writes nothing. Load reports go to linked instances only.

--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -1,7 +1,9 @@
 #ifndef ORIOLEFALL_FOLLOW_COLLECTION_FOLLOWER_HPP
 #define ORIOLEFALL_FOLLOW_COLLECTION_FOLLOWER_HPP
 
-#include "oriolefall/follow/stored_object.hpp"
+#include "oriolefall/follow/deletion_log.hpp"
+#include "oriolefall/follow/relay_role.hpp"
+#include "oriolefall/follow/view_message.hpp"
 
 #include <absl/time/time.h>
 
@@ -27,6 +29,27 @@
     /// Delay before the next watch after changes were received, so that
     /// changes in quick succession are fetched together.
     absl::Duration batch_delay = absl::Milliseconds(250);
+    /// Whether the first list may be a few seconds old, which costs the store
+    /// less. What it lacks comes by the first watch or from a peer.
+    bool may_start_stale = false;
+    relay_role initial_role = relay_role::independent;
+    /// Timeout of the watch calls of a watcher. Its path to the store is
+    /// checked by cheaper calls meanwhile, and there are other watchers.
+    absl::Duration watcher_timeout = absl::Seconds(15);
+    /// An instance that receives the collection from peers calls the store
+    /// itself when its view has not been confirmed for this long.
+    absl::Duration relay_timeout = absl::Milliseconds(1500);
+    /// The same until the first confirmation, while peers are found.
+    absl::Duration initial_relay_timeout = absl::Milliseconds(2500);
+    /// Timeout of the watch calls of such an instance.
+    absl::Duration fallback_watch_timeout = absl::Seconds(2);
+    /// Delay before the next watch of a watcher after changes were received.
+    absl::Duration watcher_batch_delay = absl::Milliseconds(500);
+    /// Delay before the store is called again after a failed call while peers
+    /// confirm the view: the store turns away this instance only.
+    absl::Duration relayed_backoff = absl::Seconds(2);
+    /// Delay before an empty collection is listed again at the start.
+    absl::Duration empty_list_delay = absl::Milliseconds(500);
     absl::Duration initial_backoff = absl::Milliseconds(100);
     absl::Duration max_backoff = absl::Milliseconds(800);
     /// Time after the recovery of the store for which removed objects are
@@ -45,8 +68,12 @@
     auto operator<=>(const collection_view&) const = default;
 };
 
-/// Tracks one collection by list and watch. A state machine without I/O or
-/// clock. An older revision never replaces a newer one. Not thread-safe.
+/// Tracks one collection by list and watch, or by what peers relay. A state
+/// machine without I/O or clock. An older revision never replaces a newer one.
+///
+/// A view that peers relay is confirmed as of the time at which a watching
+/// instance had it confirmed by the store. Without a recent confirmation the
+/// store is called, whatever the peers say. Not thread-safe.
 class collection_follower
 {
 public:
@@ -54,8 +81,21 @@
 
     /// The next call and the earliest time at which to start it.
     [[nodiscard]] std::pair<read_call, absl::Time> next_call() const;
+    /// That call was sent.
+    void on_call_started(absl::Time now);
     /// Processes the result of that call. Returns whether the view changed.
     bool on_result(absl::Time now, const call_result& result);
+    void set_role(relay_role role);
+    /// The store has answered a call that was sent at `sent_at`, so that a
+    /// pending watch would have reported changes made before.
+    void on_path_confirmed(absl::Time sent_at);
+    /// Processes what a peer knows; its age was known at `asked_at` or later.
+    /// Returns whether the view changed.
+    bool on_relayed(absl::Time now, absl::Time asked_at,
+                    const collection_update& update);
+    /// What this instance knows beyond `revision`.
+    [[nodiscard]] collection_update update_since(absl::Time now,
+                                                 std::uint64_t revision) const;
     /// Removes stale objects that are due. Returns whether the view changed.
     bool expire_stale(absl::Time now);
     /// When `expire_stale` is due; infinite without stale objects and while the
@@ -67,6 +107,10 @@
     [[nodiscard]] const collection_view& view() const;
     /// Whether the last call failed.
     [[nodiscard]] bool is_unreachable() const;
+    /// The latest time at which the view was known to be the store's newest.
+    [[nodiscard]] absl::Time confirmed_at() const;
+    /// The revision up to which the collection is known.
+    [[nodiscard]] std::uint64_t revision() const;
 
 private:
     bool on(absl::Time now, const list_page& page);
@@ -78,7 +122,14 @@
     /// servers are better than none while hundreds of pages are read.
     bool apply_initial_page(const list_page& page);
     bool finish_list(absl::Time now);
-    void remove(absl::Time now, const std::string& name);
+    bool apply(absl::Time now, const std::vector<object_change>& changes,
+               std::uint64_t known_at);
+    bool apply_snapshot(absl::Time now, const collection_update& update);
+    void remove(absl::Time now, const stored_object& deleted,
+                std::uint64_t known_at);
+    [[nodiscard]] absl::Duration next_watch_timeout() const;
+    [[nodiscard]] absl::Duration next_backoff(absl::Time now) const;
+    [[nodiscard]] absl::Time next_fallback() const;
     bool put(const stored_object& object);
 
     follower_settings settings_;
@@ -88,12 +139,21 @@
     std::string list_cursor_;
     std::uint64_t list_revision_ = 0;
     std::uint64_t watch_revision_ = 0;
+    /// Highest revision of a change that was applied.
+    std::uint64_t last_change_revision_ = 0;
+    deletion_log deletions_;
+    relay_role role_;
     bool is_listing_ = true;
     bool is_synced_ = false;
     bool is_unreachable_ = false;
     std::uint32_t failure_count_ = 0;
     absl::Time next_call_at_ = absl::InfinitePast();
     absl::Time reachable_since_ = absl::InfinitePast();
+    absl::Time confirmed_at_ = absl::InfinitePast();
+    /// When the pending call was sent.
+    absl::Time call_started_at_ = absl::InfiniteFuture();
+    /// End of the first list.
+    absl::Time synced_at_ = absl::InfinitePast();
 };
 
 } // namespace oriolefall::follow
--- /dev/null
+++ b/oriolefall/follow/own_registration.cpp
@@ -0,0 +1,163 @@
+#include "oriolefall/follow/own_registration.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolefall::follow {
+
+namespace {
+
+constexpr unsigned success_status_class = 2;
+/// Lists after a write that may be older than the write.
+constexpr std::uint32_t max_lists_before_write_shows = 2;
+
+bool is_success(const store_result& result)
+{
+    const auto* answer = std::get_if<store_answer>(&result);
+    return answer != nullptr && answer->status / 100 == success_status_class;
+}
+
+} // namespace
+
+own_registration::own_registration(asio::io_context& context,
+                                   core::endpoint store,
+                                   registration_settings settings,
+                                   store_protocol protocol,
+                                   listed_hook on_listed)
+    : context_(context), store_(std::move(store)), settings_(settings),
+      protocol_(std::move(protocol)), on_listed_(std::move(on_listed)),
+      list_connection_(std::make_shared<store_connection>(context_, store_)),
+      list_timer_(context_)
+{
+}
+
+void own_registration::start(own_object own)
+{
+    own_ = std::move(own);
+    start_list();
+}
+
+const own_object& own_registration::own() const
+{
+    return own_;
+}
+
+void own_registration::start_list()
+{
+    const list_call call{own_.collection, list_cursor_, true};
+    const store_request request{
+        http::verb::get, protocol_.target(call), {}, settings_.answer_timeout};
+    list_connection_->call(request, [this, call](const store_result& result) {
+        on_list_page(call, result);
+    });
+}
+
+void own_registration::on_list_page(const list_call& call,
+                                    const store_result& result)
+{
+    const auto* answer = std::get_if<store_answer>(&result);
+    const call_result read_result = answer != nullptr
+                                        ? protocol_.parse(call, *answer)
+                                        : call_result(call_failed{"no answer"});
+    const auto* page = std::get_if<list_page>(&read_result);
+    if (page == nullptr) {
+        list_cursor_.clear();
+        listed_objects_.clear();
+        schedule_list(settings_.retry_delay);
+        return;
+    }
+    listed_objects_.insert(listed_objects_.end(), page->objects.begin(),
+                           page->objects.end());
+    if (page->has_more && !page->objects.empty()) {
+        list_cursor_ = page->objects.back().name;
+        start_list();
+        return;
+    }
+    finish_list();
+}
+
+void own_registration::finish_list()
+{
+    ++list_count_;
+    on_listed_(listed_objects_);
+    // The object of the previous start of this instance is as good as a new
+    // one. Another instance may have removed it, believing this one dead.
+    const bool is_registered = std::ranges::any_of(
+        listed_objects_, [this](const stored_object& object) {
+            return object.name == own_.name && object.value == own_.value;
+        });
+    list_cursor_.clear();
+    listed_objects_.clear();
+    const bool may_predate_write =
+        is_written_ &&
+        list_count_ - list_count_at_write_ <= max_lists_before_write_shows;
+    if (!is_registered && !may_predate_write && !is_leaving_)
+        write_own_object();
+    else
+        schedule_list(next_list_delay());
+}
+
+std::chrono::milliseconds own_registration::next_list_delay() const
+{
+    return list_count_ <= settings_.early_list_count
+               ? settings_.early_list_interval
+               : settings_.list_interval;
+}
+
+void own_registration::schedule_list(std::chrono::milliseconds delay)
+{
+    list_timer_.expires_after(delay);
+    list_timer_.async_wait([this](const error_code& error) {
+        if (!error)
+            start_list();
+    });
+}
+
+void own_registration::write_own_object()
+{
+    try_in_order(protocol_.put(own_.collection, own_.name, own_.value), 0,
+                 [this](bool is_written) {
+                     if (is_leaving_)
+                         return;
+                     is_written_ = is_written;
+                     list_count_at_write_ = list_count_;
+                     schedule_list(is_written ? next_list_delay()
+                                              : settings_.retry_delay);
+                 });
+}
+
+void own_registration::try_in_order(std::vector<store_request> calls,
+                                    std::size_t index,
+                                    std::function<void(bool)> on_done)
+{
+    if (index >= calls.size()) {
+        on_done(false);
+        return;
+    }
+    const auto connection =
+        std::make_shared<store_connection>(context_, store_);
+    const store_request& request = calls[index];
+    connection->call(
+        request, [this, connection, calls, index, on_done = std::move(on_done)](
+                     const store_result& result) mutable {
+            if (is_success(result))
+                on_done(true);
+            else
+                try_in_order(std::move(calls), index + 1, std::move(on_done));
+        });
+}
+
+void own_registration::leave()
+{
+    is_leaving_ = true;
+    list_timer_.cancel();
+    remove(own_.collection, own_.name);
+}
+
+void own_registration::remove(const std::string& collection,
+                              const std::string& name)
+{
+    try_in_order({protocol_.remove(collection, name)}, 0, [](bool) {});
+}
+
+} // namespace oriolefall::follow
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -3,6 +3,7 @@
 #include "oriolefall/core/clock.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace oriolefall::follow {
@@ -10,14 +11,14 @@
 namespace {
 
 constexpr unsigned success_status_class = 2;
-/// Number of lists after the start that must be fresh. Instances may start
-/// together, so that the first list contains only a few of them.
-constexpr std::uint32_t fresh_list_count = 2;
+constexpr unsigned status_not_found = 404;
 
-bool is_success(const store_result& result)
+/// A store that turns this instance away doesn't confirm anything.
+bool shows_reachable_store(const store_result& result)
 {
     const auto* answer = std::get_if<store_answer>(&result);
-    return answer != nullptr && answer->status / 100 == success_status_class;
+    return answer != nullptr && (answer->status / 100 == success_status_class ||
+                                 answer->status == status_not_found);
 }
 
 std::chrono::milliseconds watch_timeout_of(const read_call& call)
@@ -45,15 +46,18 @@
     std::shared_ptr<store_connection> connection;
     asio::steady_timer call_timer;
     asio::steady_timer expiry_timer;
+    bool is_calling = false;
 };
 
 store_duty::store_duty(store_duty_settings settings, store_protocol protocol,
                        store_duty_hooks hooks)
     : settings_(std::move(settings)), protocol_(std::move(protocol)),
       hooks_(std::move(hooks)),
-      list_connection_(
-          std::make_shared<store_connection>(context_, settings_.store)),
-      list_timer_(context_), write_timer_(context_)
+      registration_(context_, settings_.store, settings_.registration,
+                    protocol_, hooks_.on_listed),
+      events_(settings_.ring_capacity), relay_timer_(context_),
+      path_connection_(
+          std::make_shared<store_connection>(context_, settings_.store))
 {
 }
 
@@ -64,13 +68,16 @@
 
 void store_duty::start(const own_object& own)
 {
-    own_ = own;
-    for (const follower_settings& settings : settings_.followed_collections) {
+    for (const follower_settings& settings : settings_.followed_collections)
         followed_collections_.push_back(std::make_unique<followed_collection>(
             context_, settings_.store, settings));
-        start_next_call(*followed_collections_.back());
-    }
-    asio::post(context_, [this] { write_own_object(); });
+    relay_.emplace(settings_.relay, settings_.initial_role, named_followers());
+    asio::post(context_, [this, own] {
+        for (const auto& collection : followed_collections_)
+            start_next_call(*collection);
+        registration_.start(own);
+        schedule_relay_check();
+    });
     thread_.emplace("store", [this] {
         const auto work = asio::make_work_guard(context_);
         context_.run();
@@ -83,27 +90,149 @@
     thread_.reset();
 }
 
+bool store_duty::post(store_event event)
+{
+    if (!events_.try_push(std::move(event)))
+        return false;
+    if (!is_wakeup_pending_.exchange(true))
+        asio::post(context_, [this] { process_events(); });
+    return true;
+}
+
+void store_duty::process_events()
+{
+    is_wakeup_pending_ = false;
+    std::vector<store_event> batch;
+    events_.pop_some(batch, settings_.ring_capacity,
+                     std::chrono::steady_clock::time_point{});
+    for (const store_event& event : batch)
+        std::visit([this](const auto& value) { on(value); }, event);
+}
+
+void store_duty::on(const relay_assignment& event)
+{
+    relay_->assign(core::monotonic_now(), event);
+}
+
+void store_duty::on(const view_message_received& event)
+{
+    std::visit(
+        [&](const auto& message) { on_view_message(event.from, message); },
+        event.message);
+}
+
+void store_duty::on_view_message(const core::instance_id& from,
+                                 const view_query& query)
+{
+    hooks_.send(from, relay_->answer(core::monotonic_now(), query));
+}
+
+void store_duty::on_view_message(const core::instance_id& /*from*/,
+                                 const view_update& update)
+{
+    const absl::Time now = core::monotonic_now();
+    std::vector<bool> was_unreachable;
+    std::ranges::transform(followed_collections_,
+                           std::back_inserter(was_unreachable),
+                           [](const auto& collection) {
+                               return collection->follower.is_unreachable();
+                           });
+    const std::vector<std::string> changed = relay_->on_update(now, update);
+    for (std::size_t i = 0; i < followed_collections_.size(); ++i) {
+        followed_collection& collection = *followed_collections_[i];
+        const bool has_changed =
+            std::ranges::find(changed, collection.name) != changed.end();
+        report_changes(collection, was_unreachable[i], {}, has_changed);
+    }
+}
+
+view_relay::named_followers store_duty::named_followers() const
+{
+    view_relay::named_followers followers;
+    for (const auto& collection : followed_collections_)
+        followers.emplace(collection->name, &collection->follower);
+    return followers;
+}
+
+void store_duty::schedule_relay_check()
+{
+    relay_timer_.expires_after(settings_.relay_check_interval);
+    relay_timer_.async_wait([this](const error_code& error) {
+        if (!error)
+            check_relay();
+    });
+}
+
+void store_duty::check_relay()
+{
+    const absl::Time now = core::monotonic_now();
+    if (relay_->update_role(now)) {
+        hooks_.on_role_changed(relay_->role());
+        for (const auto& collection : followed_collections_)
+            start_next_call(*collection);
+    }
+    auto [to, query] = relay_->next_query(now);
+    if (!to.value().empty())
+        hooks_.send(to, std::move(query));
+    if (relay_->role() == relay_role::watcher && now >= next_path_check_)
+        check_path();
+    schedule_relay_check();
+}
+
+void store_duty::check_path()
+{
+    if (std::exchange(is_checking_path_, true))
+        return;
+    const absl::Time sent_at = core::monotonic_now();
+    next_path_check_ = sent_at + settings_.path_check_interval;
+    store_request request = protocol_.check_path(registration_.own().collection,
+                                                 registration_.own().name);
+    request.timeout = settings_.answer_timeout;
+    path_connection_->call(
+        request, [this, sent_at](const store_result& result) {
+            is_checking_path_ = false;
+            if (shows_reachable_store(result))
+                for (const auto& collection : followed_collections_)
+                    collection->follower.on_path_confirmed(sent_at);
+        });
+}
+
 void store_duty::start_next_call(followed_collection& collection)
 {
+    if (collection.is_calling)
+        return;
     const auto [call, call_at] = collection.follower.next_call();
     const absl::Duration delay = call_at - core::monotonic_now();
-    if (delay > absl::ZeroDuration()) {
-        collection.call_timer.expires_after(absl::ToChronoMilliseconds(delay) +
-                                            std::chrono::milliseconds(1));
-        collection.call_timer.async_wait(
-            [this, &collection](const error_code& error) {
-                if (!error)
-                    start_next_call(collection);
-            });
+    if (delay <= absl::ZeroDuration()) {
+        send_call(collection, call);
         return;
     }
+    collection.call_timer.expires_after(absl::ToChronoMilliseconds(delay) +
+                                        std::chrono::milliseconds(1));
+    collection.call_timer.async_wait(
+        [this, &collection](const error_code& error) {
+            if (!error)
+                start_next_call(collection);
+        });
+}
+
+void store_duty::send_call(followed_collection& collection,
+                           const read_call& call)
+{
+    collection.call_timer.cancel();
+    collection.is_calling = true;
+    collection.follower.on_call_started(core::monotonic_now());
+    if (relay_->role() == relay_role::follower &&
+        std::holds_alternative<watch_call>(call))
+        hooks_.on_relay_lost(collection.name);
     const store_request request{http::verb::get,
                                 protocol_.target(call),
                                 {},
                                 settings_.answer_timeout +
                                     watch_timeout_of(call)};
     collection.connection->call(
-        request, [this, &collection, call = call](const store_result& result) {
+        request, [this, &collection, call](const store_result& result) {
+            collection.is_calling = false;
             on_result(collection, call, result);
         });
 }
@@ -119,12 +248,18 @@
         read_result = call_failed{std::get<store_failure>(result).cause};
     const bool was_unreachable = collection.follower.is_unreachable();
     const bool has_changed = collection.follower.on_result(now, read_result);
-    if (collection.follower.is_unreachable() != was_unreachable) {
-        const auto* failure = std::get_if<call_failed>(&read_result);
-        hooks_.on_unreachable_changed(collection.name,
-                                      collection.follower.is_unreachable(),
-                                      failure != nullptr ? failure->cause : "");
-    }
+    const auto* failure = std::get_if<call_failed>(&read_result);
+    report_changes(collection, was_unreachable,
+                   failure != nullptr ? failure->cause : "", has_changed);
+}
+
+void store_duty::report_changes(followed_collection& collection,
+                                bool was_unreachable, const std::string& cause,
+                                bool has_changed)
+{
+    const bool is_unreachable = collection.follower.is_unreachable();
+    if (is_unreachable != was_unreachable)
+        hooks_.on_unreachable_changed(collection.name, is_unreachable, cause);
     if (has_changed)
         hooks_.on_changed(collection.name, collection.follower.view());
     schedule_expiry(collection);
@@ -147,123 +282,15 @@
     });
 }
 
-void store_duty::start_list()
-{
-    const list_call call{settings_.listed_collection, list_cursor_,
-                         completed_list_count_ >= fresh_list_count};
-    const store_request request{
-        http::verb::get, protocol_.target(call), {}, settings_.answer_timeout};
-    list_connection_->call(request, [this, call](const store_result& result) {
-        on_listed(call, result);
-    });
-}
-
-void store_duty::on_listed(const list_call& call, const store_result& result)
-{
-    const auto* answer = std::get_if<store_answer>(&result);
-    const call_result read_result = answer != nullptr
-                                        ? protocol_.parse(call, *answer)
-                                        : call_result(call_failed{"no answer"});
-    const auto* page = std::get_if<list_page>(&read_result);
-    if (page == nullptr) {
-        list_cursor_.clear();
-        listed_objects_.clear();
-        schedule_list(settings_.write_retry_delay);
-        return;
-    }
-    listed_objects_.insert(listed_objects_.end(), page->objects.begin(),
-                           page->objects.end());
-    if (page->has_more && !page->objects.empty()) {
-        list_cursor_ = page->objects.back().name;
-        start_list();
-        return;
-    }
-    finish_list();
-}
-
-void store_duty::finish_list()
-{
-    ++completed_list_count_;
-    hooks_.on_listed(listed_objects_);
-    const bool has_own_object = std::ranges::any_of(
-        listed_objects_, [this](const stored_object& object) {
-            return object.name == own_.name;
-        });
-    list_cursor_.clear();
-    listed_objects_.clear();
-    // Another instance may have removed the object of this one because it
-    // considered it dead.
-    if (!has_own_object && !is_leaving_ &&
-        completed_list_count_ > fresh_list_count) {
-        write_own_object();
-        return;
-    }
-    schedule_list(settings_.list_interval);
-}
-
-void store_duty::schedule_list(std::chrono::milliseconds delay)
-{
-    list_timer_.expires_after(delay);
-    list_timer_.async_wait([this](const error_code& error) {
-        if (!error)
-            start_list();
-    });
-}
-
-void store_duty::write_own_object()
-{
-    try_in_order(protocol_.put(own_.collection, own_.name, own_.value), 0,
-                 [this](bool is_written) {
-                     if (is_leaving_)
-                         return;
-                     if (is_written) {
-                         start_list();
-                         return;
-                     }
-                     write_timer_.expires_after(settings_.write_retry_delay);
-                     write_timer_.async_wait([this](const error_code& error) {
-                         if (!error)
-                             write_own_object();
-                     });
-                 });
-}
-
-void store_duty::try_in_order(std::vector<store_request> calls,
-                              std::size_t index,
-                              std::function<void(bool)> on_done)
-{
-    if (index >= calls.size()) {
-        on_done(false);
-        return;
-    }
-    const auto connection =
-        std::make_shared<store_connection>(context_, settings_.store);
-    const store_request& request = calls[index];
-    connection->call(
-        request, [this, connection, calls, index, on_done = std::move(on_done)](
-                     const store_result& result) mutable {
-            if (is_success(result))
-                on_done(true);
-            else
-                try_in_order(std::move(calls), index + 1, std::move(on_done));
-        });
-}
-
 void store_duty::leave()
 {
-    asio::post(context_, [this] {
-        is_leaving_ = true;
-        list_timer_.cancel();
-        write_timer_.cancel();
-        try_in_order({protocol_.remove(own_.collection, own_.name)}, 0,
-                     [](bool) {});
-    });
+    asio::post(context_, [this] { registration_.leave(); });
 }
 
 void store_duty::remove(const std::string& collection, const std::string& name)
 {
     asio::post(context_, [this, collection, name] {
-        try_in_order({protocol_.remove(collection, name)}, 0, [](bool) {});
+        registration_.remove(collection, name);
     });
 }
 
--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -2,10 +2,15 @@
 #define ORIOLEFALL_FOLLOW_STORE_DUTY_HPP
 
 #include "oriolefall/core/backend_server.hpp"
+#include "oriolefall/core/bounded_ring.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/follow/collection_follower.hpp"
+#include "oriolefall/follow/own_registration.hpp"
 #include "oriolefall/follow/store_connection.hpp"
+#include "oriolefall/follow/store_protocol.hpp"
+#include "oriolefall/follow/view_relay.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -15,38 +20,40 @@
 
 namespace oriolefall::follow {
 
-/// The encoding of calls to the store.
-struct store_protocol
-{
-    /// HTTP request target of a read call.
-    std::function<std::string(const read_call&)> target;
-    /// Parses the answer to a read call.
-    std::function<call_result(const read_call&, const store_answer&)> parse;
-    /// Calls that create or replace an object, to be made in order until one
-    /// succeeds.
-    std::function<std::vector<store_request>(const std::string& collection,
-                                             const std::string& name,
-                                             const std::string& value)>
-        put;
-    std::function<store_request(const std::string& collection,
-                                const std::string& name)>
-        remove;
-};
-
 struct store_duty_settings
 {
     core::endpoint store;
     /// Collections that are followed by list and watch.
     std::vector<follower_settings> followed_collections;
-    /// Collection that is listed completely at startup and then at
-    /// `list_interval`. Lists after the startup may be a few seconds old, which
-    /// costs the store less.
-    std::string listed_collection;
-    std::chrono::milliseconds list_interval{15000};
+    relay_settings relay;
+    /// Of all followed collections.
+    relay_role initial_role = relay_role::independent;
+    registration_settings registration;
     std::chrono::milliseconds answer_timeout{1200};
-    std::chrono::milliseconds write_retry_delay{500};
+    /// Time between two checks of the relay: whether a query or a role is due.
+    std::chrono::milliseconds relay_check_interval{100};
+    /// Time between two cheap calls by which a watching instance verifies that
+    /// it reaches the store while its watch calls are pending.
+    absl::Duration path_check_interval = absl::Seconds(1);
+    /// Maximum number of queued messages of peers.
+    std::size_t ring_capacity = 1024;
+};
+
+/// A message between the store duties of two instances.
+using view_message = std::variant<view_query, view_update>;
+
+/// A message from a peer.
+struct view_message_received
+{
+    core::instance_id from;
+    view_message message;
+    std::strong_ordering
+    operator<=>(const view_message_received&) const = default;
 };
 
+/// What other duties tell the store duty.
+using store_event = std::variant<relay_assignment, view_message_received>;
+
 /// Notifications of the store duty. Called on the store thread; must not
 /// block.
 struct store_duty_hooks
@@ -60,19 +67,17 @@
     std::function<void(const std::string& collection, bool is_unreachable,
                        const std::string& cause)>
         on_unreachable_changed;
+    /// Sends a message to a peer. It may be lost.
+    std::function<void(const core::instance_id& to, view_message)> send;
+    std::function<void(relay_role)> on_role_changed;
+    /// A follower starts to call the store itself, as no peer has confirmed its
+    /// view of the collection in time.
+    std::function<void(const std::string& collection)> on_relay_lost;
 };
 
-/// The object that represents this instance in the store while it runs.
-struct own_object
-{
-    std::string collection;
-    std::string name;
-    std::string value;
-    auto operator<=>(const own_object&) const = default;
-};
-
-/// The duty that communicates with the store: it follows collections and
-/// maintains this instance's own object. Has a thread of its own.
+/// The duty that communicates with the store: it follows collections, alone or
+/// with the help of peers, and keeps this instance registered. Has a thread of
+/// its own.
 class store_duty
 {
 public:
@@ -89,36 +94,44 @@
     /// Starts the removal of one object of the listed collection. A failed call
     /// is not retried. Thread-safe.
     void remove(const std::string& collection, const std::string& name);
+    /// Never blocks; returns false if the ring is full. Thread-safe.
+    bool post(store_event event);
     void stop();
 
 private:
     struct followed_collection;
+    void process_events();
+    void on(const relay_assignment& event);
+    void on(const view_message_received& event);
+    void on_view_message(const core::instance_id& from,
+                         const view_query& query);
+    void on_view_message(const core::instance_id& from,
+                         const view_update& update);
+    void schedule_relay_check();
+    void check_relay();
+    void check_path();
+    [[nodiscard]] view_relay::named_followers named_followers() const;
+    /// Tells the hooks what `change` changed, and goes on with the calls.
+    void report_changes(followed_collection& collection, bool was_unreachable,
+                        const std::string& cause, bool has_changed);
     void start_next_call(followed_collection& collection);
+    void send_call(followed_collection& collection, const read_call& call);
     void on_result(followed_collection& collection, const read_call& call,
                    const store_result& result);
     void schedule_expiry(followed_collection& collection);
-    void start_list();
-    void finish_list();
-    void on_listed(const list_call& call, const store_result& result);
-    void schedule_list(std::chrono::milliseconds delay);
-    void write_own_object();
-    void try_in_order(std::vector<store_request> calls, std::size_t index,
-                      std::function<void(bool)> on_done);
-
     store_duty_settings settings_;
     store_protocol protocol_;
     store_duty_hooks hooks_;
     asio::io_context context_{1};
     std::vector<std::unique_ptr<followed_collection>> followed_collections_;
-    std::shared_ptr<store_connection> list_connection_;
-    asio::steady_timer list_timer_;
-    std::string list_cursor_;
-    std::vector<stored_object> listed_objects_;
-    /// Number of complete lists of the listed collection.
-    std::uint32_t completed_list_count_ = 0;
-    asio::steady_timer write_timer_;
-    own_object own_;
-    bool is_leaving_ = false;
+    std::optional<view_relay> relay_;
+    own_registration registration_;
+    core::bounded_ring<store_event> events_;
+    std::atomic<bool> is_wakeup_pending_ = false;
+    asio::steady_timer relay_timer_;
+    std::shared_ptr<store_connection> path_connection_;
+    bool is_checking_path_ = false;
+    absl::Time next_path_check_ = absl::InfinitePast();
     std::optional<core::duty_thread> thread_;
 };
 
--- a/oriolefall/membership/member_table.cpp
+++ b/oriolefall/membership/member_table.cpp
@@ -2,6 +2,7 @@
 
 #include "oriolefall/membership/peer_choice.hpp"
 #include "oriolefall/membership/rendezvous.hpp"
+#include "oriolefall/membership/watcher_choice.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -15,6 +16,16 @@
 /// Consecutive heartbeats with a differing digest before buckets are compared:
 /// a difference caused by updates in transit soon disappears by itself.
 constexpr unsigned mismatch_limit = 3;
+
+/// Of two sorted lists.
+std::vector<core::instance_id>
+union_of(const std::vector<core::instance_id>& one,
+         const std::vector<core::instance_id>& other)
+{
+    std::vector<core::instance_id> all;
+    std::ranges::set_union(one, other, std::back_inserter(all));
+    return all;
+}
 } // namespace
 
 member_table::member_table(const membership_settings& settings, member self)
@@ -333,7 +344,8 @@
 
 /// The peers chosen among all members, and those that would be chosen without
 /// the suspected ones: when a whole failure domain is lost, its next members
-/// are monitored while the first ones can still refute.
+/// are monitored while the first ones can still refute. The watchers of the
+/// own region are always among them.
 std::vector<core::instance_id>
 member_table::monitored_peers(const std::vector<member>& known) const
 {
@@ -345,13 +357,13 @@
                          [](const member& value) {
                              return value.state != member_state::suspect;
                          });
-    auto all = choose_peers(self_, known, links);
-    if (unsuspected.size() == known.size())
-        return all;
-    const auto replacements = choose_peers(self_, unsuspected, links);
-    std::vector<core::instance_id> chosen;
-    std::ranges::set_union(all, replacements, std::back_inserter(chosen));
-    return chosen;
+    auto chosen = choose_peers(self_, known, links);
+    if (unsuspected.size() != known.size())
+        chosen = union_of(chosen, choose_peers(self_, unsuspected, links));
+    auto watchers = choose_region_watchers(known, self_.location.region,
+                                           settings_.links_to_watchers);
+    std::erase(watchers, self_.id);
+    return union_of(chosen, watchers);
 }
 
 /// The dead member to connect to in this round, since a partition may have
--- a/oriolefall/membership/membership_settings.hpp
+++ b/oriolefall/membership/membership_settings.hpp
@@ -34,6 +34,9 @@
     /// Number of links between two failure domains of a region, and between
     /// two regions.
     std::size_t links_between_groups = 2;
+    /// Minimum number of watchers of its region to which an instance keeps
+    /// links; see `choose_region_watchers`.
+    std::size_t links_to_watchers = 0;
     /// Up to this number of members, each instance has a link to every other.
     std::size_t max_full_mesh_size = 0;
     std::strong_ordering
--- a/oriolefall/membership/watcher_choice.cpp
+++ b/oriolefall/membership/watcher_choice.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace oriolefall::membership {
@@ -30,4 +31,24 @@
     return chosen;
 }
 
+std::vector<core::instance_id>
+choose_region_watchers(std::span<const member> members,
+                       const core::region_name& region, std::size_t count)
+{
+    std::vector<member> candidates;
+    std::set<core::location> domains;
+    for (const member& value : members) {
+        if (value.location.region != region || !is_known_by_gossip(value) ||
+            value.state != member_state::live)
+            continue;
+        candidates.push_back(value);
+        domains.insert(value.location);
+    }
+    if (domains.empty())
+        return {};
+    const std::size_t per_domain =
+        (count + domains.size() - 1) / domains.size();
+    return choose_watchers(candidates, per_domain);
+}
+
 } // namespace oriolefall::membership
--- a/oriolefall/membership/watcher_choice.hpp
+++ b/oriolefall/membership/watcher_choice.hpp
@@ -16,6 +16,13 @@
 [[nodiscard]] std::vector<core::instance_id>
 choose_watchers(std::span<const member> members, std::size_t per_domain);
 
+/// The same for the failure domains of one region, `count` or more altogether.
+/// Chosen among the members that are known by gossip: those known only from the
+/// platform's list may be long gone.
+[[nodiscard]] std::vector<core::instance_id>
+choose_region_watchers(std::span<const member> members,
+                       const core::region_name& region, std::size_t count);
+
 } // namespace oriolefall::membership
 
 #endif
--- a/oriolefall/peer/codec.cpp
+++ b/oriolefall/peer/codec.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -16,6 +17,12 @@
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
+constexpr std::uint64_t infinite_milliseconds =
+    std::numeric_limits<std::uint64_t>::max();
+/// Longer durations are not plausible in a message.
+constexpr std::uint64_t max_milliseconds =
+    std::uint64_t{1000} * 60 * 60 * 24 * 365;
+
 /// The message of a kind on the wire, which is its index in `message`.
 template <std::size_t Kind>
 using message_of = std::variant_alternative_t<Kind, message>;
@@ -41,6 +48,10 @@
 void put(packer& to, const settings::path_version& value);
 void put(packer& to, const settings::tree_object& value);
 void put(packer& to, const dispatch::server_load_share& value);
+void put(packer& to, const dispatch::lane_share& value);
+void put(packer& to, const follow::collection_revision& value);
+void put(packer& to, const follow::object_change& value);
+void put(packer& to, const follow::collection_update& value);
 
 template <class T>
 void put(packer& to, const std::vector<T>& values)
@@ -86,6 +97,38 @@
               std::uint64_t{value.backlog_tokens});
 }
 
+void put(packer& to, const dispatch::lane_share& value)
+{
+    put_array(to, value.service, std::uint64_t{value.permille});
+}
+
+void put(packer& to, const follow::collection_revision& value)
+{
+    put_array(to, value.collection, value.revision);
+}
+
+void put(packer& to, const follow::object_change& value)
+{
+    put_array(to, value.object.name, value.object.revision, value.object.value,
+              std::uint64_t{value.is_deleted});
+}
+
+/// In milliseconds; the largest number stands for an infinite duration.
+std::uint64_t to_milliseconds(absl::Duration value)
+{
+    return value == absl::InfiniteDuration()
+               ? infinite_milliseconds
+               : static_cast<std::uint64_t>(absl::ToInt64Milliseconds(
+                     absl::Ceil(value, absl::Milliseconds(1))));
+}
+
+void put(packer& to, const follow::collection_update& value)
+{
+    put_array(to, value.collection, value.from_revision, value.revision,
+              std::uint64_t{value.is_snapshot}, value.changes,
+              to_milliseconds(value.age), to_milliseconds(value.reachable_for));
+}
+
 void put_message(packer& to, std::uint64_t kind,
                  const membership::heartbeat& value)
 {
@@ -124,7 +167,7 @@
 void put_message(packer& to, std::uint64_t kind,
                  const dispatch::load_report& value)
 {
-    put_array(to, kind, value.servers);
+    put_array(to, kind, value.servers, value.lanes);
 }
 
 void put_message(packer& to, std::uint64_t kind, const key_query& value)
@@ -138,6 +181,18 @@
               std::uint64_t{value.status}, value.body);
 }
 
+void put_message(packer& to, std::uint64_t kind,
+                 const follow::view_query& value)
+{
+    put_array(to, kind, value.query_id, value.collections);
+}
+
+void put_message(packer& to, std::uint64_t kind,
+                 const follow::view_update& value)
+{
+    put_array(to, kind, value.query_id, value.collections);
+}
+
 using detail::field_reader;
 
 void get(field_reader& from, std::string& value)
@@ -199,6 +254,49 @@
     value.backlog_tokens = fields.read_number_as<std::uint32_t>();
 }
 
+void get(field_reader& from, dispatch::lane_share& value)
+{
+    constexpr std::uint32_t max_permille = 1000;
+    field_reader fields = from.read_array();
+    get(fields, value.service);
+    value.permille = fields.read_number_as<std::uint32_t>();
+    from.require(value.permille <= max_permille);
+}
+
+void get(field_reader& from, follow::collection_revision& value)
+{
+    field_reader fields = from.read_array();
+    value.collection = fields.read_text();
+    value.revision = fields.read_number();
+}
+
+bool get_flag(field_reader& from)
+{
+    const std::uint64_t value = from.read_number();
+    from.require(value <= 1);
+    return value == 1;
+}
+
+absl::Duration get_duration(field_reader& from)
+{
+    const std::uint64_t value = from.read_number();
+    if (value == infinite_milliseconds)
+        return absl::InfiniteDuration();
+    from.require(value <= max_milliseconds);
+    return absl::Milliseconds(static_cast<std::int64_t>(value));
+}
+
+void get(field_reader& from, follow::object_change& value)
+{
+    field_reader fields = from.read_array();
+    value.object.name = fields.read_text();
+    value.object.revision = fields.read_number();
+    value.object.value = fields.read_text();
+    value.is_deleted = get_flag(fields);
+}
+
+void get(field_reader& from, follow::collection_update& value);
+
 template <class T>
 void get(field_reader& from, std::vector<T>& values)
 {
@@ -208,6 +306,18 @@
         get(fields, value);
 }
 
+void get(field_reader& from, follow::collection_update& value)
+{
+    field_reader fields = from.read_array();
+    value.collection = fields.read_text();
+    value.from_revision = fields.read_number();
+    value.revision = fields.read_number();
+    value.is_snapshot = get_flag(fields);
+    get(fields, value.changes);
+    value.age = get_duration(fields);
+    value.reachable_for = get_duration(fields);
+}
+
 void get_message(field_reader& from, membership::heartbeat& value)
 {
     value.incarnation = from.read_number();
@@ -247,6 +357,9 @@
 void get_message(field_reader& from, dispatch::load_report& value)
 {
     get(from, value.servers);
+    // Older instances send none.
+    if (from.remaining() > 0)
+        get(from, value.lanes);
 }
 
 void get_message(field_reader& from, key_query& value)
@@ -264,6 +377,18 @@
     value.body = from.read_text();
 }
 
+void get_message(field_reader& from, follow::view_query& value)
+{
+    value.query_id = from.read_number();
+    get(from, value.collections);
+}
+
+void get_message(field_reader& from, follow::view_update& value)
+{
+    value.query_id = from.read_number();
+    get(from, value.collections);
+}
+
 template <std::size_t Kind>
 message get_message_of_kind(field_reader& from)
 {
--- a/oriolefall/peer/control_duty.cpp
+++ b/oriolefall/peer/control_duty.cpp
@@ -135,9 +135,15 @@
     link_.send(event.to, event.message);
 }
 
+void control_duty::on(const message_to_peers& event)
+{
+    for (const core::instance_id& peer : linked_peers_)
+        link_.send(peer, event.message);
+}
+
 void control_duty::on_link_event(const peer_opened& event)
 {
-    ++open_links_;
+    linked_peers_.insert(event.instance);
     has_member_changes_ = true;
     exchange_.on_peer_opened(event.instance);
     step_table(membership::link_opened{event.instance});
@@ -145,7 +151,7 @@
 
 void control_duty::on_link_event(const peer_closed& event)
 {
-    --open_links_;
+    linked_peers_.erase(event.instance);
     has_member_changes_ = true;
     exchange_.on_peer_closed(event.instance);
     step_table(membership::link_closed{event.instance});
@@ -271,7 +277,7 @@
     const std::vector<core::instance_id> readers = membership::choose_watchers(
         table_->members(), settings_.readers_per_domain);
     const bool is_reader =
-        open_links_ == 0 ||
+        linked_peers_.empty() ||
         std::ranges::binary_search(readers, settings_.link.self);
     if (is_reader_ == is_reader)
         return;
--- a/oriolefall/peer/control_duty.hpp
+++ b/oriolefall/peer/control_duty.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace oriolefall::peer {
@@ -82,6 +83,7 @@
     void on(const membership::platform_listed& event);
     void on(const membership::leave_requested& event);
     void on(const outgoing_message& event);
+    void on(const message_to_peers& event);
     void on_link_event(const peer_opened& event);
     void on_link_event(const peer_closed& event);
     void on_link_event(const peer_message& event);
@@ -109,7 +111,7 @@
     std::vector<membership::action> actions_;
     /// When the current batch of events was taken from the ring.
     absl::Time now_ = absl::InfinitePast();
-    std::size_t open_links_ = 0;
+    std::set<core::instance_id> linked_peers_;
     bool has_member_changes_ = true;
     std::optional<bool> is_reader_;
     std::optional<core::duty_thread> thread_;
--- a/oriolefall/peer/control_event.hpp
+++ b/oriolefall/peer/control_event.hpp
@@ -20,10 +20,18 @@
     auto operator<=>(const settings_read&) const = default;
 };
 
+/// Sends a message to all linked instances.
+struct message_to_peers
+{
+    peer::message message;
+    std::strong_ordering operator<=>(const message_to_peers&) const = default;
+};
+
 /// An event that another duty posts to the control duty.
 using control_event =
     std::variant<link_event, settings_read, membership::platform_listed,
-                 membership::leave_requested, outgoing_message>;
+                 membership::leave_requested, outgoing_message,
+                 message_to_peers>;
 using control_ring = core::bounded_ring<control_event>;
 
 } // namespace oriolefall::peer
--- a/oriolefall/peer/message.hpp
+++ b/oriolefall/peer/message.hpp
@@ -3,6 +3,7 @@
 
 #include "oriolefall/core/ids.hpp"
 #include "oriolefall/dispatch/load_report.hpp"
+#include "oriolefall/follow/view_message.hpp"
 #include "oriolefall/membership/event.hpp"
 #include "oriolefall/membership/member.hpp"
 #include "oriolefall/settings/tree_object.hpp"
@@ -81,7 +82,8 @@
 using message =
     std::variant<membership::heartbeat, member_update,
                  membership::member_buckets, settings_offer, settings_fetch,
-                 settings_answer, dispatch::load_report, key_query, key_answer>;
+                 settings_answer, dispatch::load_report, key_query, key_answer,
+                 follow::view_query, follow::view_update>;
 
 } // namespace oriolefall::peer
 
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -2,7 +2,7 @@
 
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/text.hpp"
-#include "oriolefall/membership/near_instances.hpp"
+#include "oriolefall/membership/watcher_choice.hpp"
 
 #include <absl/time/clock.h>
 
@@ -18,9 +18,6 @@
 
 /// Maximum number of events of one open request that can be queued.
 constexpr std::size_t max_events_per_request = 6;
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_not_found = 404;
 
 std::function<std::uint64_t()> random_source()
 {
@@ -148,6 +145,20 @@
         [this](const std::vector<follow::stored_object>& objects) {
             on_instances(objects);
         };
+    hooks.send = [this](const core::instance_id& to,
+                        const follow::view_message& message) {
+        std::visit(
+            [&](const auto& value) {
+                control_duty_->post(peer::outgoing_message{to, value});
+            },
+            message);
+    };
+    hooks.on_role_changed = [this](follow::relay_role role) {
+        log_.write("store_role", {{"role", follow::to_string(role)}});
+    };
+    hooks.on_relay_lost = [this](const std::string& collection) {
+        log_.write("relay_lost", {{"collection", collection}});
+    };
     hooks.on_unreachable_changed = [this](const std::string& collection,
                                           bool away, const std::string& cause) {
         metrics_.set_store_unreachable(collection, away);
@@ -166,15 +177,49 @@
     hooks.settings_changed = [](const auto&) {};
     hooks.reader_role_changed = [](bool) {};
     hooks.other_message_received = [this](const peer::peer_message& message) {
-        // A report lost to a full ring is made up for by the next one.
-        if (const auto* report =
-                std::get_if<dispatch::load_report>(&message.message))
-            static_cast<void>(decide_duty_->try_post(
-                dispatch::load_report_received{message.from, *report}));
+        on_peer_message(message);
     };
     return hooks;
 }
 
+void router::on_peer_message(const peer::peer_message& message)
+{
+    // What is lost to a full ring is made up for by the next report or query.
+    if (const auto* report =
+            std::get_if<dispatch::load_report>(&message.message))
+        static_cast<void>(decide_duty_->try_post(
+            dispatch::load_report_received{message.from, *report}));
+    else if (const auto* query =
+                 std::get_if<follow::view_query>(&message.message))
+        static_cast<void>(store_duty_->post(
+            follow::view_message_received{message.from, *query}));
+    else if (const auto* update =
+                 std::get_if<follow::view_update>(&message.message))
+        static_cast<void>(store_duty_->post(
+            follow::view_message_received{message.from, *update}));
+}
+
+void router::assign_relay_role(const std::vector<membership::member>& members)
+{
+    const auto fleet_size = static_cast<std::size_t>(
+        std::ranges::count_if(members, membership::participates_in_gossip));
+    const auto& membership_settings = settings_.control.membership;
+    follow::relay_assignment assignment;
+    if (fleet_size <= membership_settings.max_full_mesh_size) {
+        assignment.role = follow::relay_role::independent;
+    } else {
+        assignment.watchers = membership::choose_region_watchers(
+            members, settings_.location.region,
+            membership_settings.links_to_watchers);
+        const auto removed =
+            std::erase(assignment.watchers, settings_.instance);
+        assignment.role = removed > 0 ? follow::relay_role::watcher
+                                      : follow::relay_role::follower;
+    }
+    if (!store_duty_->post(std::move(assignment)))
+        log_.write("relay_role_not_told", {});
+}
+
 void router::on_settings(const follow::collection_view& view)
 {
     const auto found = view.objects.find(settings_.settings_name);
@@ -250,6 +295,7 @@
 {
     log_member_changes(*members_.get(), *members);
     members_.set(members);
+    assign_relay_role(*members);
     const auto participant_count = static_cast<std::uint32_t>(
         std::ranges::count_if(*members, membership::participates_in_gossip));
     metrics_.set_instances(participant_count);
@@ -286,11 +332,7 @@
 {
     if (!has_joined_)
         return;
-    const auto members = members_.get();
-    for (const membership::member& each : *members)
-        if (each.id != settings_.instance &&
-            membership::participates_in_gossip(each))
-            control_duty_->post(peer::outgoing_message{each.id, report});
+    control_duty_->post(peer::message_to_peers{report});
 }
 
 void router::join_when_ready()
@@ -302,54 +344,6 @@
     log_.write("ready", {});
 }
 
-bool router::is_ready() const
-{
-    return has_routes_ && has_servers_ && !is_leaving_;
-}
-
-page router::make_page(const std::string& target)
-{
-    const page_request request = hooks_.parse_page_request(target);
-    if (std::holds_alternative<readiness_request>(request))
-        return {is_ready() ? status_ok : status_unavailable, "text/plain",
-                is_ready() ? "ready\n" : "not ready\n"};
-    if (const auto* address = std::get_if<address_request>(&request)) {
-        const auto chosen = addresses_for(address->caller);
-        if (chosen.empty())
-            return {status_unavailable, "application/json", "{}"};
-        return {status_ok, "application/json",
-                hooks_.print_addresses(chosen, settings_.address_lifetime)};
-    }
-    if (std::holds_alternative<metrics_request>(request))
-        return {status_ok, "text/plain; version=0.0.4", metrics_text()};
-    return {status_not_found, "text/plain", "not found\n"};
-}
-
-std::vector<core::endpoint>
-router::addresses_for(const core::location& caller) const
-{
-    auto known = *members_.get();
-    const auto own =
-        std::ranges::find(known, settings_.instance, &membership::member::id);
-    if (own != known.end())
-        known.erase(own);
-    if (is_ready())
-        known.push_back(self());
-    const auto chosen = membership::near_instances(caller, known, {});
-    std::vector<core::endpoint> addresses;
-    std::ranges::transform(chosen, std::back_inserter(addresses),
-                           &membership::member::caller_endpoint);
-    return addresses;
-}
-
-std::string router::metrics_text()
-{
-    const auto counts = forwarder_->counters();
-    return metrics_.text({counts.callers, counts.open_requests,
-                          counts.server_connections_opened,
-                          log_.dropped_lines(), is_ready()});
-}
-
 membership::member router::self() const
 {
     membership::member member;
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -50,6 +50,9 @@
     /// Removes the store objects of instances that have failed permanently.
     void remove_absent_instances(const std::vector<membership::member>& listed);
     void on_members(const peer::members_ptr& members);
+    /// Tells the store duty whom to query, by the members that are known.
+    void assign_relay_role(const std::vector<membership::member>& members);
+    void on_peer_message(const peer::peer_message& message);
     void send_load_report(const dispatch::load_report& report);
     /// Joins the other instances once this one can answer requests.
     void join_when_ready();
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -297,6 +297,29 @@
         protocol.parse(list, {200, "[]"})));
 }
 
+Test(store, a_path_check_and_a_stale_list_ask_for_answers_that_cost_little)
+{
+    const auto protocol = make_store_protocol();
+    const auto check = protocol.check_path("instances", "edge-1");
+    cr_assert(check.method == http::verb::get);
+    cr_assert_eq(check.target, "/objects/instances/edge-1?staleOk=1");
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "", true}),
+                 "/objects/servers?staleOk=1");
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "", false}),
+                 "/objects/servers");
+}
+
+// What an instance writes is the same at each start, so that it needs no new
+// write where it is listed.
+Test(store, the_object_of_an_instance_does_not_change_with_its_incarnation)
+{
+    membership::member member;
+    member.incarnation = 1;
+    const std::string first = print_member(member);
+    member.incarnation = 2;
+    cr_assert_eq(print_member(member), first);
+}
+
 Test(store, an_instance_that_is_written_is_read_back)
 {
     membership::member member;
--- a/tests/membership/choice_test.cpp
+++ b/tests/membership/choice_test.cpp
@@ -146,6 +146,53 @@
     }));
 }
 
+// Two or more in a region, at least one in each of its failure domains, so that
+// the loss of an instance or of a domain leaves one that reads the store.
+Test(watcher_choice, chooses_watchers_in_all_failure_domains_of_a_region)
+{
+    cr_assert(rc::check("watchers of a region", [] {
+        auto fleet = any_fleet();
+        for (member& value : fleet)
+            value.incarnation = 1;
+        if (fleet.empty())
+            return;
+        const core::region_name region = fleet.front().location.region;
+        const auto chosen = choose_region_watchers(fleet, region, 2);
+        std::map<core::location, std::size_t> live;
+        std::map<core::location, std::size_t> watching;
+        std::size_t live_count = 0;
+        for (const member& value : fleet) {
+            const bool is_chosen = std::ranges::binary_search(chosen, value.id);
+            RC_ASSERT(!is_chosen || value.location.region == region);
+            if (value.location.region != region ||
+                value.state != member_state::live)
+                continue;
+            ++live_count;
+            ++live[value.location];
+            if (is_chosen)
+                ++watching[value.location];
+        }
+        RC_ASSERT(chosen.size() <= live_count);
+        for (const auto& [location, count] : live)
+            RC_ASSERT(watching[location] >= 1);
+        if (live.size() == 1)
+            RC_ASSERT(chosen.size() == std::min<std::size_t>(2, live_count));
+    }));
+}
+
+Test(watcher_choice, members_known_only_from_the_list_do_not_watch)
+{
+    member listed;
+    listed.id = core::instance_id("listed");
+    listed.location = {core::region_name("r"), core::failure_domain_name("d")};
+    member known = listed;
+    known.id = core::instance_id("known");
+    known.incarnation = 7;
+    const std::vector<member> fleet{known, listed};
+    cr_assert_eq(choose_region_watchers(fleet, listed.location.region, 2),
+                 std::vector{known.id});
+}
+
 Test(entry_choice, never_chooses_a_leaving_or_dead_instance)
 {
     cr_assert(rc::check("states of the chosen instances", [] {
--- a/tests/peer/any_message.cpp
+++ b/tests/peer/any_message.cpp
@@ -62,6 +62,47 @@
             any<std::uint32_t>()};
 }
 
+dispatch::lane_share any_lane_share()
+{
+    return {any_id<routing::service_name>(),
+            *rc::gen::inRange<std::uint32_t>(0, 1001)};
+}
+
+follow::object_change any_object_change()
+{
+    return {{any<std::string>(), any(), any<std::string>()}, any<bool>()};
+}
+
+absl::Duration any_age()
+{
+    return any<bool>() ? absl::InfiniteDuration()
+                       : absl::Milliseconds(*rc::gen::inRange(0, 1'000'000));
+}
+
+follow::collection_update any_collection_update()
+{
+    follow::collection_update update;
+    update.collection = any<std::string>();
+    update.from_revision = any();
+    update.revision = any();
+    update.is_snapshot = any<bool>();
+    update.changes = any_list<follow::object_change>(any_object_change);
+    update.age = any_age();
+    update.reachable_for = any_age();
+    return update;
+}
+
+message any_view_message(int kind)
+{
+    if (kind == 0)
+        return follow::view_query{
+            any(), any_list<follow::collection_revision>([] {
+                return follow::collection_revision{any<std::string>(), any()};
+            })};
+    return follow::view_update{
+        any(), any_list<follow::collection_update>(any_collection_update)};
+}
+
 message any_settings_message(int kind)
 {
     switch (kind) {
@@ -105,15 +146,18 @@
 
 message any_message()
 {
-    const int kind = *rc::gen::inRange(0, 9);
+    const int kind = *rc::gen::inRange(0, 11);
     if (kind < 3)
         return any_membership_message(kind);
     if (kind < 6)
         return any_settings_message(kind - 3);
     if (kind < 8)
         return any_key_message(kind - 6);
+    if (kind < 10)
+        return any_view_message(kind - 8);
     return dispatch::load_report{
-        any_list<dispatch::server_load_share>(any_server_share)};
+        any_list<dispatch::server_load_share>(any_server_share),
+        any_list<dispatch::lane_share>(any_lane_share)};
 }
 
 } // namespace oriolefall::tests
