--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -111,7 +111,7 @@
     void check_relay();
     void check_path();
     [[nodiscard]] view_relay::named_followers named_followers() const;
-    /// Tells the hooks what `change` changed, and goes on with the calls.
+    /// Tells the hooks what has changed, and goes on with the calls.
     void report_changes(followed_collection& collection, bool was_unreachable,
                         const std::string& cause, bool has_changed);
     void start_next_call(followed_collection& collection);
