--- a/tests/forward/endless_answer_test.cpp
+++ b/tests/forward/endless_answer_test.cpp
@@ -40,14 +40,7 @@
     forwarder_fixture fixture(tests::test_protocol());
     raw_caller caller(fixture.port());
     caller.send(tests::format_request("r1"));
-    dispatch::send_call call;
-    call.id = fixture.next<dispatch::arrival>().id;
-    call.call = core::call_id(1);
-    call.server = core::backend_server_id("server-1");
-    call.endpoint = server.endpoint();
-    call.connection_limit = 8;
-    call.is_stream = true;
-    fixture.submit(call);
+    fixture.send_stream_call(fixture.next<dispatch::arrival>(), server);
     return fixture.next_event();
 }
 
--- a/tests/forward/forwarder_fixture.cpp
+++ b/tests/forward/forwarder_fixture.cpp
@@ -17,6 +17,18 @@
     return settings;
 }
 
+dispatch::send_call make_call(const dispatch::arrival& request,
+                              const scripted_server& server, std::uint64_t call)
+{
+    dispatch::send_call action;
+    action.id = request.id;
+    action.call = core::call_id(call);
+    action.server = core::backend_server_id("server-1");
+    action.endpoint = server.endpoint();
+    action.connection_limit = 8;
+    return action;
+}
+
 } // namespace
 
 forwarder_fixture::forwarder_fixture(forward::protocol_hooks protocol,
@@ -58,16 +70,22 @@
 forwarder_fixture::send_call(const dispatch::arrival& request,
                              const scripted_server& server, std::uint64_t call)
 {
-    dispatch::send_call action;
-    action.id = request.id;
-    action.call = core::call_id(call);
-    action.server = core::backend_server_id("server-1");
-    action.endpoint = server.endpoint();
-    action.connection_limit = 8;
+    const dispatch::send_call action = make_call(request, server, call);
     submit(action);
     return action;
 }
 
+void forwarder_fixture::send_stream_call(const dispatch::arrival& request,
+                                         const scripted_server& server,
+                                         std::uint64_t call,
+                                         absl::Duration gap_timeout)
+{
+    dispatch::send_call action = make_call(request, server, call);
+    action.is_stream = true;
+    action.gap_timeout = gap_timeout;
+    submit(action);
+}
+
 int forwarder_fixture::port() const
 {
     return forwarder.port();
--- a/tests/forward/forwarder_fixture.hpp
+++ b/tests/forward/forwarder_fixture.hpp
@@ -36,6 +36,11 @@
     dispatch::send_call send_call(const dispatch::arrival& request,
                                   const scripted_server& server,
                                   std::uint64_t call = 1);
+    /// The same for a stream whose events may be so far apart.
+    void
+    send_stream_call(const dispatch::arrival& request,
+                     const scripted_server& server, std::uint64_t call = 1,
+                     absl::Duration gap_timeout = absl::InfiniteDuration());
     [[nodiscard]] int port() const;
 
     forward::forwarder forwarder;
--- a/tests/forward/forwarder_test.cpp
+++ b/tests/forward/forwarder_test.cpp
@@ -35,26 +35,6 @@
     };
 }
 
-dispatch::send_call as_stream(dispatch::send_call action)
-{
-    action.is_stream = true;
-    return action;
-}
-
-/// Starts call `call` of a request for a stream at `server`.
-void send_stream_call(forwarder_fixture& fixture,
-                      const dispatch::arrival& request,
-                      const scripted_server& server, std::uint64_t call)
-{
-    dispatch::send_call action;
-    action.id = request.id;
-    action.call = core::call_id(call);
-    action.server = core::backend_server_id("server");
-    action.endpoint = server.endpoint();
-    action.connection_limit = 8;
-    fixture.submit(as_stream(action));
-}
-
 /// A script that answers the requests "r1" and "r2" on one connection.
 scripted_server::script answers_r1_and_r2()
 {
@@ -283,7 +263,7 @@
     forwarder_fixture fixture(test_protocol());
     raw_caller caller(fixture.port());
     caller.send(format_request("r1"));
-    send_stream_call(fixture, fixture.next<dispatch::arrival>(), server, 1);
+    fixture.send_stream_call(fixture.next<dispatch::arrival>(), server, 1);
     // The first event arrives although the stream has not ended.
     const std::string answer = caller.read_until("id: 1\ndata: x\n\n");
     cr_assert(answer.find("Transfer-Encoding: chunked\r\n") !=
@@ -307,11 +287,11 @@
     raw_caller caller(fixture.port());
     caller.send(format_request("r1"));
     const auto arrival = fixture.next<dispatch::arrival>();
-    send_stream_call(fixture, arrival, first, 1);
+    fixture.send_stream_call(arrival, first, 1);
     caller.read_until("id: 2\n");
     fixture.next<dispatch::call_answer_started>();
     cr_assert(fixture.next<dispatch::call_broken>().has_answer_started);
-    send_stream_call(fixture, arrival, second, 2);
+    fixture.send_stream_call(arrival, second, 2);
     const std::string answer = caller.read_until(last_chunk);
     for (const std::string id : {"id: 1\n", "id: 2\n", "id: 3\n", "id: 4\n"}) {
         cr_assert(answer.find(id) != std::string::npos, "%s", id.c_str());
@@ -329,7 +309,7 @@
     raw_caller caller(fixture.port());
     caller.send(format_request("r1"));
     const auto arrival = fixture.next<dispatch::arrival>();
-    send_stream_call(fixture, arrival, server, 1);
+    fixture.send_stream_call(arrival, server, 1);
     caller.read_until("id: 1\n");
     fixture.next<dispatch::call_answer_started>();
     fixture.next<dispatch::call_broken>();
