--- a/tests/follow/own_registration_test.cpp
+++ b/tests/follow/own_registration_test.cpp
@@ -83,7 +83,7 @@
         return settings;
     }
 
-    static store_protocol protocol(std::vector<stored_object> listed)
+    static store_protocol protocol(const std::vector<stored_object>& listed)
     {
         store_protocol made;
         made.target = [](const read_call& call) {
