--- a/tests/follow/own_registration_test.cpp
+++ b/tests/follow/own_registration_test.cpp
@@ -66,10 +66,9 @@
 /// An instance that registers at a store whose lists hold these objects.
 struct registering_instance
 {
-    explicit registering_instance(std::vector<stored_object> listed)
+    explicit registering_instance(const std::vector<stored_object>& listed)
         : registration(
-              context, store.endpoint(), fast_settings(),
-              protocol(std::move(listed)),
+              context, store.endpoint(), fast_settings(), protocol(listed),
               [this](const std::vector<stored_object>&) { ++list_count; })
     {
         registration.start(own);
--- a/tests/forward/forwarder_fixture.cpp
+++ b/tests/forward/forwarder_fixture.cpp
@@ -70,7 +70,7 @@
 forwarder_fixture::send_call(const dispatch::arrival& request,
                              const scripted_server& server, std::uint64_t call)
 {
-    const dispatch::send_call action = make_call(request, server, call);
+    dispatch::send_call action = make_call(request, server, call);
     submit(action);
     return action;
 }
