Log the shared parts of broken calls, and whether their answer had begun

Now a `broken` line names the parts of the prompt that other requests may share, and says whether the server had begun to answer.

--- a/oriolefall/dispatch/decision_record.hpp
+++ b/oriolefall/dispatch/decision_record.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace oriolefall::dispatch {
 
@@ -56,6 +57,11 @@
     std::uint32_t own_calls = 0;
     std::uint32_t other_calls = 0;
     std::uint32_t prompt_tokens = 0;
+    /// Ids of the parts of the prompt that other requests may share; set for
+    /// calls that broke.
+    std::vector<std::uint64_t> shared_parts;
+    /// The server had begun its answer to a call that broke.
+    bool had_answer_begun = false;
     std::uint32_t uncached_tokens = 0;
     /// Expected time to the first event or the answer.
     absl::Duration expected_time = absl::ZeroDuration();
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -139,7 +139,7 @@
     open_request* request = find_request(event.id, event.call);
     if (request == nullptr)
         return;
-    log_decision(*request, decision::broken, to_string(event.cause));
+    log_broken(*request, event);
     if (server_state* server = server_of(*request))
         record_outcome(*server, &server_state::record_failure);
     finish_call(*request);
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -155,6 +155,7 @@
                       std::string_view cause = {}, int status = 0);
     void log_sent(const open_request& request, const server_view& view);
     void log_answered(const open_request& request, const call_completed& event);
+    void log_broken(const open_request& request, const call_broken& event);
     void log_refused(const open_request& request, refusal cause);
     /// Records the outcome of a call by calling `record` on the server, and
     /// logs an ejection or readmission that results from it.
--- a/oriolefall/dispatch/dispatcher_records.cpp
+++ b/oriolefall/dispatch/dispatcher_records.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/dispatch/dispatcher.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace oriolefall::dispatch {
@@ -90,6 +92,19 @@
     actions_->push_back(std::move(record));
 }
 
+void dispatcher::log_broken(const open_request& request,
+                            const call_broken& event)
+{
+    decision_record record = make_record(request, decision::broken);
+    record.cause = to_string(event.cause);
+    record.had_answer_begun =
+        request.call->answer_started_at != absl::InfinitePast();
+    std::ranges::transform(shared_parts(request.arrival_event.prompt),
+                           std::back_inserter(record.shared_parts),
+                           &prompt_part::id);
+    actions_->push_back(std::move(record));
+}
+
 void dispatcher::log_refused(const open_request& request, refusal cause)
 {
     log_decision(request, decision::refused, to_string(cause));
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -110,6 +110,11 @@
         [](std::uint32_t sum, const auto& part) { return sum + part.tokens; });
 }
 
+std::span<const prompt_part> shared_parts(std::span<const prompt_part> prompt)
+{
+    return prompt.first(prompt.empty() ? 0 : prompt.size() - 1);
+}
+
 std::uint64_t affinity_key(std::span<const prompt_part> prompt)
 {
     if (prompt.size() < 2)
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -105,6 +105,10 @@
 
 [[nodiscard]] std::uint32_t total_tokens(std::span<const prompt_part> prompt);
 
+/// All parts of `prompt` but the last, which belongs to the request or session.
+[[nodiscard]] std::span<const prompt_part>
+shared_parts(std::span<const prompt_part> prompt);
+
 /// Hash key that maps requests with the same shared prompt to the same affinity
 /// servers: the ID of the last shared part, which is the part before the last.
 [[nodiscard]] std::uint64_t affinity_key(std::span<const prompt_part> prompt);
--- a/oriolefall/router/request_log.cpp
+++ b/oriolefall/router/request_log.cpp
@@ -1,7 +1,9 @@
 #include "oriolefall/router/request_log.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
+#include <ranges>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,6 +20,16 @@
     return absl::StrCat(absl::ToInt64Milliseconds(time));
 }
 
+/// Hexadecimal ids, of which a log entry has room for a few.
+std::string format_parts(const std::vector<std::uint64_t>& ids)
+{
+    constexpr std::size_t max_parts = 8;
+    return absl::StrJoin(ids | std::views::take(max_parts), ",",
+                         [](std::string* out, std::uint64_t id) {
+                             absl::StrAppend(out, absl::Hex(id));
+                         });
+}
+
 /// Fields of a log entry. Owns the values, which `observe::log_field` only
 /// refers to.
 class line_fields
@@ -127,6 +139,10 @@
         fields.add("other_calls", absl::StrCat(record.other_calls));
         fields.add_number("prompt_tokens", record.prompt_tokens);
         fields.add_number("to_read", record.uncached_tokens);
+    } else if (record.outcome == dispatch::decision::broken) {
+        fields.add("answer_begun", record.had_answer_begun ? "yes" : "no");
+        if (!record.shared_parts.empty())
+            fields.add("shared_parts", format_parts(record.shared_parts));
     } else if (record.outcome == dispatch::decision::answered) {
         fields.add("first_ms", format_ms(record.first_event_time));
         fields.add_number("events", record.events);
--- a/tests/router/request_log_test.cpp
+++ b/tests/router/request_log_test.cpp
@@ -133,3 +133,14 @@
                  1);
     cr_assert_eq(count(text, "\"event\":\"server_back\""), 1);
 }
+
+Test(request_log, a_broken_call_names_its_shared_parts_and_whether_it_answered)
+{
+    log_fixture fixture(1);
+    auto record = make_record(1, decision::broken);
+    record.shared_parts = {0xa1, 0x12ca};
+    fixture.subject.log(start, record);
+    cr_assert_eq(count(fixture.take(), "\"answer_begun\":\"no\","
+                                       "\"shared_parts\":\"a1,12ca\""),
+                 1);
+}
