forward: a stream that ends inside an event is broken, not complete

A server that crashed while it wrote an answer with neither length nor chunks looked, by the end of its connection, as if it had sent the whole stream; the caller got the last chunk behind half an event, or an empty answer. Now a stream that ends inside an event is broken off whatever its framing, and one that ends with its connection before any event too. It is resumed where that is allowed, else the caller's connection is closed without an end.

--- a/oriolefall/forward/event_splitter.cpp
+++ b/oriolefall/forward/event_splitter.cpp
@@ -65,10 +65,9 @@
     return complete_events;
 }
 
-std::string event_splitter::take_remainder()
+bool event_splitter::is_inside_event() const
 {
-    search_from_ = 0;
-    return std::exchange(buffer_, {});
+    return buffer_.find_first_not_of("\r\n") != std::string::npos;
 }
 
 std::optional<std::uint64_t> event_splitter::last_event_id() const
--- a/oriolefall/forward/event_splitter.hpp
+++ b/oriolefall/forward/event_splitter.hpp
@@ -21,8 +21,8 @@
 
     /// Appends received bytes and returns the events that are now complete.
     [[nodiscard]] std::string feed(std::string_view bytes);
-    /// Returns and discards the bytes after the last complete event.
-    [[nodiscard]] std::string take_remainder();
+    /// True when bytes of an event have been received, but not its end.
+    [[nodiscard]] bool is_inside_event() const;
 
     /// Id of the last complete event that had one; the constructor's id before
     /// that.
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -126,8 +126,8 @@
     hooks.on_body = [run_if_current](std::string_view bytes) {
         run_if_current([bytes](exchange& self) { self.on_body(bytes); });
     };
-    hooks.on_done = [run_if_current] {
-        run_if_current([](exchange& self) { self.on_done(); });
+    hooks.on_done = [run_if_current](answer_end end) {
+        run_if_current([end](exchange& self) { self.on_done(end); });
     };
     hooks.on_failed = [run_if_current](call_error error) {
         run_if_current([error](exchange& self) { self.on_failed(error); });
@@ -210,7 +210,7 @@
         dispatch::call_not_run{id_, call, cause, head_info_.load});
 }
 
-void exchange::on_done()
+void exchange::on_done(answer_end end)
 {
     const core::call_id call = current_call_->call;
     server_.reset();
@@ -219,14 +219,7 @@
         return;
     }
     if (forwarding_ == forwarding::events) {
-        forward_events(splitter_.take_remainder());
-        if (!is_answer_started_)
-            start_event_stream();
-        if (framing_.chunked)
-            caller_->write(std::string(last_chunk));
-        dependencies_.report(dispatch::call_completed{
-            id_, call, splitter_.event_count(), longest_gap_});
-        finish(framing_.chunked);
+        finish_event_stream(end);
         return;
     }
     const int status = static_cast<int>(answer_head_.result_int());
@@ -248,6 +241,24 @@
     finish(framing_.length || framing_.chunked);
 }
 
+void exchange::finish_event_stream(answer_end end)
+{
+    const bool is_empty =
+        end == answer_end::close && splitter_.event_count() == 0;
+    if (is_empty || splitter_.is_inside_event()) {
+        // The server stopped in the middle of its answer.
+        report_broken(dispatch::broken_cause::connection_lost);
+        return;
+    }
+    if (!is_answer_started_)
+        start_event_stream();
+    if (framing_.chunked)
+        caller_->write(std::string(last_chunk));
+    dependencies_.report(dispatch::call_completed{
+        id_, current_call_->call, splitter_.event_count(), longest_gap_});
+    finish(framing_.chunked);
+}
+
 void exchange::on_failed(call_error error)
 {
     const core::call_id call = current_call_->call;
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -66,7 +66,8 @@
     [[nodiscard]] std::string format_request_head();
     bool on_head(const answer_head& head);
     void on_body(std::string_view bytes);
-    void on_done();
+    void on_done(answer_end end);
+    void finish_event_stream(answer_end end);
     void on_failed(call_error error);
     void start_event_stream();
     void forward_events(const std::string& events);
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -252,8 +252,10 @@
         parse();
         return;
     }
+    const answer_end end =
+        parser_->need_eof() ? answer_end::close : answer_end::framing;
     const bool is_reusable = parser_->keep_alive() && is_request_written_ &&
-                             buffer_.size() == 0 && !parser_->need_eof();
+                             buffer_.size() == 0 && end == answer_end::framing;
     const auto self = shared_from_this();
     const auto call = std::exchange(call_, nullptr);
     body_.reset();
@@ -262,7 +264,7 @@
         become_idle();
     else
         close();
-    call->on_done();
+    call->on_done(end);
 }
 
 void server_connection::on_end_of_stream()
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -24,6 +24,13 @@
     malformed        ///< the received bytes are no valid answer
 };
 
+/// What marked the end of a complete answer.
+enum class answer_end : std::uint8_t
+{
+    framing, ///< a length or the last chunk
+    close    ///< the server closed the connection
+};
+
 /// Callbacks of one call. None is called after `on_done` or `on_failed`, nor
 /// after `abort`.
 struct call_hooks
@@ -33,7 +40,7 @@
     /// Returns false to discard this answer and wait for the next one.
     std::function<bool(const answer_head&)> on_head;
     std::function<void(std::string_view)> on_body;
-    std::function<void()> on_done;
+    std::function<void(answer_end)> on_done;
     std::function<void(call_error)> on_failed;
 };
 
--- a/tests/forward/event_splitter_test.cpp
+++ b/tests/forward/event_splitter_test.cpp
@@ -60,7 +60,7 @@
         }
         RC_ASSERT(received == stream);
         RC_ASSERT(splitter.event_count() == static_cast<unsigned>(event_count));
-        RC_ASSERT(splitter.take_remainder().empty());
+        RC_ASSERT(splitter.pending_bytes() == 0U);
     });
     cr_assert(holds);
 }
