Read the limit that a server names, and log when it changes

What a server says of itself in the head of an answer is now one value of the inner model (dispatch::server_notice: its load, its limit), decoded once in platform/, and the events carry it in place of the load alone. A change is logged (server_limited, server_unlimited) and counted. Nothing is decided by it yet. A value that is no finite, non-negative number, or stands twice, neither sets nor lifts a limit. An answer without one lifts it only if its call was sent after the limit was heard.

--- a/oriolefall/core/text.hpp
+++ b/oriolefall/core/text.hpp
@@ -1,6 +1,7 @@
 #ifndef ORIOLEFALL_CORE_TEXT_HPP
 #define ORIOLEFALL_CORE_TEXT_HPP
 
+#include <absl/strings/match.h>
 #include <absl/strings/string_view.h>
 
 #include <string_view>
@@ -14,6 +15,13 @@
     return {text.data(), text.size()};
 }
 
+/// Compares ASCII letters without regard to their case.
+[[nodiscard]] inline bool equals_ignore_case(std::string_view left,
+                                             std::string_view right)
+{
+    return absl::EqualsIgnoreCase(to_absl(left), to_absl(right));
+}
+
 } // namespace oriolefall::core
 
 #endif
--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -106,7 +106,7 @@
 using action =
     std::variant<send_call, cancel_call, forward_error_answer, refuse,
                  send_load_report, send_crash_report, decision_record,
-                 ejection_change, quarantine_change>;
+                 ejection_change, quarantine_change, rate_limit_change>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/decision_record.hpp
+++ b/oriolefall/dispatch/decision_record.hpp
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -86,6 +87,15 @@
     std::strong_ordering operator<=>(const ejection_change&) const = default;
 };
 
+/// Log record of the limit that a server names for the requests per second from
+/// all instances together; empty when it no longer does.
+struct rate_limit_change
+{
+    core::backend_server_id server;
+    std::optional<double> rate_limit;
+    std::partial_ordering operator<=>(const rate_limit_change&) const = default;
+};
+
 /// Log record of prompt parts that are kept from the servers, because requests
 /// with all of them crash servers, or that no longer are.
 struct quarantine_change
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -118,7 +118,7 @@
     open_request* request = find_request(event.id, event.call);
     if (request == nullptr)
         return;
-    update_server_load(*request, event.load);
+    apply_notice(*request, event.notice);
     if (event.cause == not_run_cause::refused)
         record_alive(*request->call);
     log_decision(*request, decision::not_run, to_string(event.cause));
@@ -135,7 +135,7 @@
         if (event.cause == not_run_cause::not_connected ||
             event.cause == not_run_cause::wrong_server)
             record_outcome(*server, &server_state::record_unreachable);
-        else if (event.cause == not_run_cause::refused && !event.load)
+        else if (event.cause == not_run_cause::refused && !event.notice.load)
             record_outcome(*server, &server_state::record_failure);
     }
     if (!was_sent)
@@ -185,7 +185,7 @@
     open_request* request = find_request(event.id, event.call);
     if (request == nullptr)
         return;
-    update_server_load(*request, event.load);
+    apply_notice(*request, event.notice);
     record_alive(*request->call);
     server_state* server = server_of(*request);
     if (server != nullptr && !request->call->is_prefilled) {
@@ -205,7 +205,7 @@
     open_request* request = find_request(event.id, event.call);
     if (request == nullptr)
         return;
-    update_server_load(*request, event.load);
+    apply_notice(*request, event.notice);
     record_alive(*request->call);
     log_decision(*request, decision::failed, {}, event.status);
     if (server_state* server = server_of(*request))
@@ -345,14 +345,6 @@
     return found == servers_.end() ? nullptr : found->second.get();
 }
 
-void dispatcher::update_server_load(const open_request& request,
-                                    const std::optional<server_load>& load)
-{
-    server_state* server = server_of(request);
-    if (server != nullptr && load)
-        server->update_load(now_, *load);
-}
-
 service_pool& dispatcher::pool_of(const routing::service_name& name)
 {
     const auto [found, is_new] =
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -159,8 +159,8 @@
                                              core::call_id call);
     /// State of the server of the open call; null when it is no longer listed.
     [[nodiscard]] server_state* server_of(const open_request& request);
-    void update_server_load(const open_request& request,
-                            const std::optional<server_load>& load);
+    /// Applies what a server said of itself in an answer to the open call.
+    void apply_notice(const open_request& request, const server_notice& notice);
     [[nodiscard]] retry_budget&
     retry_budget_of(const routing::service_name& name);
     /// This instance's share of the connection limit of a server.
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -6,6 +6,7 @@
 #include "oriolefall/dispatch/load_report.hpp"
 #include "oriolefall/dispatch/retry_budget.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
+#include "oriolefall/dispatch/server_notice.hpp"
 #include "oriolefall/routing/route_table.hpp"
 
 #include <absl/time/time.h>
@@ -73,7 +74,7 @@
     core::request_id id;
     core::call_id call;
     not_run_cause cause = not_run_cause::refused;
-    std::optional<server_load> load;
+    server_notice notice;
     auto operator<=>(const call_not_run&) const = default;
 };
 
@@ -112,7 +113,7 @@
     core::request_id id;
     core::call_id call;
     int status = 0;
-    std::optional<server_load> load;
+    server_notice notice;
     auto operator<=>(const call_answer_started&) const = default;
 };
 
@@ -123,7 +124,7 @@
     core::request_id id;
     core::call_id call;
     int status = 0;
-    std::optional<server_load> load;
+    server_notice notice;
     auto operator<=>(const call_failed&) const = default;
 };
 
--- a/oriolefall/dispatch/server_entry.hpp
+++ b/oriolefall/dispatch/server_entry.hpp
@@ -29,15 +29,6 @@
     std::strong_ordering operator<=>(const server_entry&) const = default;
 };
 
-/// Load that a backend server reports in its answers.
-struct server_load
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-    auto operator<=>(const server_load&) const = default;
-};
-
 } // namespace oriolefall::dispatch
 
 #endif
--- a/oriolefall/dispatch/server_state.hpp
+++ b/oriolefall/dispatch/server_state.hpp
@@ -3,6 +3,7 @@
 
 #include "oriolefall/dispatch/prompt_cache.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
+#include "oriolefall/dispatch/server_notice.hpp"
 
 #include <absl/time/time.h>
 
@@ -50,6 +51,15 @@
     void record_call_ended();
     void update_load(absl::Time now, const server_load& load);
 
+    /// Applies the limit that an answer to a call sent at `sent_at` names. An
+    /// answer without one lifts the limit, unless the call was sent before the
+    /// limit was heard: such an answer may be older than the limit.
+    void update_rate_limit(absl::Time now, absl::Time sent_at,
+                           const server_notice& notice);
+    /// Requests per second that the server takes from all instances together;
+    /// empty without a limit.
+    [[nodiscard]] std::optional<double> rate_limit() const;
+
     void record_success(absl::Time now);
     void record_failure(absl::Time now);
     /// Ejects the server: no connection could be opened, or another server
@@ -96,6 +106,8 @@
     absl::Time load_received_at_ = absl::InfinitePast();
     /// Number of own calls sent minus those ended since `load_` was received.
     std::int64_t calls_since_load_ = 0;
+    std::optional<double> rate_limit_;
+    absl::Time rate_limit_heard_at_ = absl::InfinitePast();
     std::uint32_t consecutive_failures_ = 0;
     /// Exponential moving average; the newest call has a weight of 1/8.
     double failure_ratio_ = 0;
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -46,7 +46,7 @@
                                           make_call_hooks(action.call));
     if (server_ == nullptr)
         dependencies_.report(dispatch::call_not_run{
-            id_, action.call, dispatch::not_run_cause::no_room, std::nullopt});
+            id_, action.call, dispatch::not_run_cause::no_room, {}});
 }
 
 void exchange::execute(const dispatch::cancel_call& action)
@@ -207,7 +207,7 @@
                            : dispatch::not_run_cause::refused;
     abort_call();
     dependencies_.report(
-        dispatch::call_not_run{id_, call, cause, head_info_.load});
+        dispatch::call_not_run{id_, call, cause, head_info_.notice});
 }
 
 void exchange::on_done(answer_end end)
@@ -227,11 +227,11 @@
         if (answer_head_.result_int() >= first_server_error &&
             current_call_->holds_error_answers) {
             dependencies_.report(
-                dispatch::call_failed{id_, call, status, head_info_.load});
+                dispatch::call_failed{id_, call, status, head_info_.notice});
             return;
         }
-        dependencies_.report(
-            dispatch::call_answer_started{id_, call, status, head_info_.load});
+        dependencies_.report(dispatch::call_answer_started{id_, call, status,
+                                                           head_info_.notice});
         forward_buffered_answer();
     } else if (framing_.chunked) {
         caller_->write(std::string(last_chunk));
@@ -268,7 +268,7 @@
     if (error == call_error::not_connected) {
         current_call_.reset();
         dependencies_.report(dispatch::call_not_run{
-            id_, call, dispatch::not_run_cause::not_connected, std::nullopt});
+            id_, call, dispatch::not_run_cause::not_connected, {}});
         return;
     }
     report_broken(error == call_error::malformed
@@ -342,7 +342,7 @@
     if (!std::exchange(has_reported_answer_, true))
         dependencies_.report(dispatch::call_answer_started{
             id_, current_call_->call,
-            static_cast<int>(answer_head_.result_int()), head_info_.load});
+            static_cast<int>(answer_head_.result_int()), head_info_.notice});
     write_body(events);
 }
 
@@ -361,7 +361,7 @@
     is_answer_started_ = true;
     dependencies_.report(dispatch::call_answer_started{
         id_, current_call_->call, static_cast<int>(answer_head_.result_int()),
-        head_info_.load});
+        head_info_.notice});
     write_body(std::exchange(buffered_body_, {}));
 }
 
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -199,6 +199,7 @@
     void execute(const dispatch::decision_record&) {}
     void execute(const dispatch::ejection_change&) {}
     void execute(const dispatch::quarantine_change&) {}
+    void execute(const dispatch::rate_limit_change&) {}
     void execute(const dispatch::send_load_report&) {}
     void execute(const dispatch::send_crash_report&) {}
 
--- a/oriolefall/forward/http_text.cpp
+++ b/oriolefall/forward/http_text.cpp
@@ -2,7 +2,7 @@
 
 #include "oriolefall/core/text.hpp"
 
-#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_split.h>
@@ -38,6 +38,8 @@
     }
 }
 
+constexpr std::string_view keep_alive_parameter = "timeout=";
+
 std::string status_line(http::status status)
 {
     const auto reason = http::obsolete_reason(status);
@@ -59,9 +61,8 @@
 
 bool is_hop_by_hop(std::string_view name, std::string_view connection)
 {
-    const auto equals = [name](auto other) {
-        return absl::EqualsIgnoreCase(to_absl(name),
-                                      {other.data(), other.size()});
+    const auto equals = [name](std::string_view other) {
+        return core::equals_ignore_case(name, other);
     };
     if (std::ranges::any_of(hop_by_hop_fields, equals))
         return true;
@@ -70,10 +71,25 @@
     const std::vector<absl::string_view> listed =
         absl::StrSplit(to_absl(connection), ',');
     return std::ranges::any_of(listed, [&equals](absl::string_view each) {
-        return equals(absl::StripAsciiWhitespace(each));
+        const absl::string_view stripped = absl::StripAsciiWhitespace(each);
+        return equals({stripped.data(), stripped.size()});
     });
 }
 
+std::optional<std::chrono::milliseconds>
+parse_keep_alive_timeout(std::string_view text)
+{
+    const auto start = text.find(keep_alive_parameter);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view rest =
+        text.substr(start + keep_alive_parameter.size());
+    unsigned seconds = 0;
+    if (!absl::SimpleAtoi(to_absl(rest.substr(0, rest.find(','))), &seconds))
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 void append_field(std::string& text, std::string_view name,
                   std::string_view value)
 {
--- a/oriolefall/forward/http_text.hpp
+++ b/oriolefall/forward/http_text.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/dispatch/action.hpp"
 #include "oriolefall/net/beast.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -32,6 +33,10 @@
 void append_field(std::string& text, std::string_view name,
                   std::string_view value);
 
+/// The timeout in the value of a Keep-Alive field, if it has one.
+[[nodiscard]] std::optional<std::chrono::milliseconds>
+parse_keep_alive_timeout(std::string_view text);
+
 /// Formats a backend server's response head for the caller.
 [[nodiscard]] std::string
 format_caller_head(const http::response_header<>& head,
--- a/oriolefall/forward/protocol_hooks.hpp
+++ b/oriolefall/forward/protocol_hooks.hpp
@@ -44,7 +44,7 @@
     bool is_signed = false;
     /// The body is a stream of server-sent events.
     bool is_event_stream = false;
-    std::optional<dispatch::server_load> load;
+    dispatch::server_notice notice;
     /// How long the server keeps an idle connection open, if announced.
     std::optional<std::chrono::milliseconds> keep_alive_timeout;
     auto operator<=>(const answer_head_info&) const = default;
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -78,6 +78,9 @@
         else if (const auto* quarantine =
                      std::get_if<dispatch::quarantine_change>(&action))
             hooks_.record_quarantine(*quarantine);
+        else if (const auto* limit =
+                     std::get_if<dispatch::rate_limit_change>(&action))
+            hooks_.record_rate_limit(*limit);
         else if (const auto* crashes =
                      std::get_if<dispatch::send_crash_report>(&action))
             hooks_.send_crash_report(crashes->report);
--- a/oriolefall/router/decide_duty.hpp
+++ b/oriolefall/router/decide_duty.hpp
@@ -26,6 +26,8 @@
         std::function<void(const dispatch::ejection_change&)> record_ejection;
         std::function<void(const dispatch::quarantine_change&)>
             record_quarantine;
+        std::function<void(const dispatch::rate_limit_change&)>
+            record_rate_limit;
         /// Send the report to the other instances; reports may be lost.
         std::function<void(const dispatch::load_report&)> send_load_report;
         std::function<void(const dispatch::crash_report&)> send_crash_report;
--- a/oriolefall/router/request_log.cpp
+++ b/oriolefall/router/request_log.cpp
@@ -106,6 +106,16 @@
                                           : "prompt_released");
 }
 
+void request_log::log(absl::Time now, const dispatch::rate_limit_change& change)
+{
+    line_fields fields;
+    fields.add("server", change.server.value());
+    if (change.rate_limit)
+        fields.add("per_s", absl::StrCat(*change.rate_limit));
+    fields.write_to(log_, now,
+                    change.rate_limit ? "server_limited" : "server_unlimited");
+}
+
 bool request_log::may_write_directly(absl::Time now)
 {
     const std::int64_t second = absl::ToUnixSeconds(now);
--- a/oriolefall/router/request_log.hpp
+++ b/oriolefall/router/request_log.hpp
@@ -38,6 +38,7 @@
     void log(absl::Time now, const dispatch::decision_record& record);
     void log(absl::Time now, const dispatch::ejection_change& change);
     void log(absl::Time now, const dispatch::quarantine_change& change);
+    void log(absl::Time now, const dispatch::rate_limit_change& change);
 
 private:
     struct buffered_record
--- a/oriolefall/router/router_metrics.cpp
+++ b/oriolefall/router/router_metrics.cpp
@@ -29,6 +29,9 @@
       quarantine_changes_(
           counters("oriolefall_prompt_quarantine_changes_total",
                    "Prompt parts that were quarantined or released")),
+      rate_limit_changes_(
+          counters("oriolefall_server_rate_limit_changes_total",
+                   "Limits that servers named, changed or lifted")),
       server_connections_opened_(
           counters("oriolefall_server_connections_opened_total",
                    "Connections opened to backend servers")
@@ -94,6 +97,13 @@
         .Increment();
 }
 
+void router_metrics::record(const dispatch::rate_limit_change& value)
+{
+    rate_limit_changes_
+        .Add({{"change", value.rate_limit ? "limited" : "unlimited"}})
+        .Increment();
+}
+
 void router_metrics::set_settings_version(std::uint64_t version)
 {
     settings_version_.Set(static_cast<double>(version));
--- a/oriolefall/router/router_metrics.hpp
+++ b/oriolefall/router/router_metrics.hpp
@@ -36,6 +36,7 @@
     void record(const dispatch::decision_record& value);
     void record(const dispatch::ejection_change& value);
     void record(const dispatch::quarantine_change& value);
+    void record(const dispatch::rate_limit_change& value);
     void set_settings_version(std::uint64_t version);
     void set_servers(std::size_t ready, std::size_t draining,
                      std::size_t stale);
@@ -62,6 +63,7 @@
     counter_family& calls_;
     counter_family& server_changes_;
     counter_family& quarantine_changes_;
+    counter_family& rate_limit_changes_;
     prometheus::Counter& server_connections_opened_;
     prometheus::Counter& dropped_log_lines_;
     gauge_family& servers_;
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -241,7 +241,7 @@
     cr_assert(facts.matches_request && facts.is_signed &&
               facts.is_event_stream);
     cr_assert_not(facts.not_run);
-    cr_assert(*facts.load == (dispatch::server_load{3, 1, 8}));
+    cr_assert(*facts.notice.load == (dispatch::server_load{3, 1, 8}));
     cr_assert_eq(facts.keep_alive_timeout->count(), 4000);
     head.set("Oriolefall-Attempt-Id", "id-0");
     head.set("Oriolefall-Not-Executed", "1");
@@ -250,6 +250,32 @@
     cr_assert(!facts.matches_request && facts.not_run && facts.wrong_server);
 }
 
+Test(answers, name_a_limit_that_is_a_plain_number_and_nothing_else)
+{
+    const auto protocol = make_request_protocol();
+    const auto notice_of = [&protocol](const std::string& value) {
+        forward::answer_head head;
+        head.result(200);
+        head.set("server-limit", value);
+        return protocol.read_answer(some_head(), head).notice;
+    };
+    cr_assert_eq(*notice_of("1.25").rate_limit, 1.25);
+    cr_assert_eq(*notice_of("0").rate_limit, 0);
+    for (const std::string bad :
+         {"", "many", "-1", "nan", "inf", "1,2", "1e999"}) {
+        const auto notice = notice_of(bad);
+        cr_assert(!notice.rate_limit && notice.is_rate_limit_invalid);
+    }
+    forward::answer_head twice;
+    twice.result(503);
+    twice.insert("Server-Limit", "1");
+    twice.insert("Server-Limit", "2");
+    const auto notice = protocol.read_answer(some_head(), twice).notice;
+    cr_assert(!notice.rate_limit && notice.is_rate_limit_invalid);
+    cr_assert_not(
+        protocol.read_answer(some_head(), {}).notice.is_rate_limit_invalid);
+}
+
 Test(prompts, any_text_gives_a_list)
 {
     cr_assert(rc::check([](const std::string& text) {
--- a/tests/adapter/names_test.cpp
+++ b/tests/adapter/names_test.cpp
@@ -17,7 +17,8 @@
     "gapTargetMs",  "kvCapacity", "maxConns",     "apiKeys",
     "watchFromRev", "staleOk",    "warmupLeftMs", "ttlS",
     "nodeName",     "portRange",  "retryRatio",   "ORIOLEFALL_SETTINGS\"",
-    "Kv-From",      "hasMore",    "timeoutMs",    "idleTimeoutMs"};
+    "Kv-From",      "hasMore",    "timeoutMs",    "idleTimeoutMs",
+    "Server-Limit"};
 
 std::string text_of(const std::filesystem::path& path)
 {
--- a/tests/dispatch/dispatcher_properties_test.cpp
+++ b/tests/dispatch/dispatcher_properties_test.cpp
@@ -129,11 +129,12 @@
         case 0:
             calls_.erase(call.call.value());
             simulation_.step(call_not_run{
-                call.id, call.call,
+                call.id,
+                call.call,
                 *rc::gen::element(
                     not_run_cause::not_connected, not_run_cause::no_room,
                     not_run_cause::refused, not_run_cause::wrong_server),
-                std::nullopt});
+                {}});
             break;
         case 1:
             calls_.erase(call.call.value());
@@ -145,14 +146,12 @@
             calls_.erase(call.call.value());
             ++tracked.possible_runs;
             if (call.holds_error_answers)
-                simulation_.step(
-                    call_failed{call.id, call.call, 500, std::nullopt});
+                simulation_.step(call_failed{call.id, call.call, 500, {}});
             else
                 finish(call, tracked);
             break;
         case 3:
-            simulation_.step(
-                call_answer_started{call.id, call.call, 200, std::nullopt});
+            simulation_.step(call_answer_started{call.id, call.call, 200, {}});
             break;
         default:
             calls_.erase(call.call.value());
@@ -210,6 +209,7 @@
     void check(const send_load_report&) {}
     void check(const send_crash_report&) {}
     void check(const quarantine_change&) {}
+    void check(const rate_limit_change&) {}
     void check(const decision_record&) {}
     void check(const ejection_change&) {}
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -27,7 +27,7 @@
 
 call_not_run not_run(const send_call& call, not_run_cause cause)
 {
-    return {call.id, call.call, cause, std::nullopt};
+    return {call.id, call.call, cause, {}};
 }
 
 call_broken broken(const send_call& call, bool has_answer_started)
@@ -145,8 +145,7 @@
     two_server_simulation simulation;
     simulation.receive_request("resumable");
     const send_call first = *simulation.last<send_call>();
-    simulation.step(
-        call_answer_started{first.id, first.call, 200, std::nullopt});
+    simulation.step(call_answer_started{first.id, first.call, 200, {}});
     simulation.step(broken(first, true));
     cr_assert_eq(simulation.count<send_call>(), 2);
     cr_assert_neq(simulation.last<send_call>()->server.value(),
@@ -159,9 +158,9 @@
     simulation.receive_request("safe");
     const send_call first = *simulation.last<send_call>();
     cr_assert(first.holds_error_answers);
-    simulation.step(call_failed{first.id, first.call, 500, std::nullopt});
+    simulation.step(call_failed{first.id, first.call, 500, {}});
     const send_call second = *simulation.last<send_call>();
-    simulation.step(call_failed{second.id, second.call, 500, std::nullopt});
+    simulation.step(call_failed{second.id, second.call, 500, {}});
     cr_assert_eq(simulation.count<forward_error_answer>(), 1);
     cr_assert_eq(simulation.subject.open_requests(), 0);
 }
--- a/tests/router/request_log_test.cpp
+++ b/tests/router/request_log_test.cpp
@@ -158,3 +158,17 @@
     cr_assert_eq(count(text, "\"event\":\"prompt_released\",\"parts\":\"d1\""),
                  1);
 }
+
+Test(request_log, logs_limits_that_servers_name_or_lift)
+{
+    log_fixture fixture(0);
+    const core::backend_server_id server("s3");
+    fixture.subject.log(start, dispatch::rate_limit_change{server, 1.2});
+    fixture.subject.log(start, dispatch::rate_limit_change{server, {}});
+    const std::string text = fixture.take();
+    cr_assert_eq(count(text, "\"event\":\"server_limited\",\"server\":\"s3\","
+                             "\"per_s\":\"1.2\""),
+                 1);
+    cr_assert_eq(
+        count(text, "\"event\":\"server_unlimited\",\"server\":\"s3\""), 1);
+}
