Keep the limits that servers name, by all instances together

Cause: the limit was read nowhere. Beyond that, no state of a server that an instance keeps was shared with the others, and a limit for all together can't be kept by each alone. Change: instances tell each other of limits named, changed or lifted, with the age of the word, and forward only what is news. No retry and no fallback passes the limit. Servers with a limit are the first affinity servers of long prompts only: they count requests, not work. A refusal for limits alone says so (servers_limited, not run) with the time to the next token as retry-after.

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -69,6 +69,7 @@
     overloaded,      ///< too many open requests, or no server accepts the call
     time_over,       ///< the timeout of the route or of the caller has expired
     outcome_unknown, ///< the request may have run, and no answer was received
+    servers_limited, ///< the servers take no more requests per second
     quarantined_prompt ///< requests with these prompt parts crash servers
 };
 
@@ -103,10 +104,19 @@
     auto operator<=>(const send_crash_report&) const = default;
 };
 
+/// Sends what servers have said of themselves to the other instances.
+struct send_notice_report
+{
+    notice_report report;
+    std::partial_ordering
+    operator<=>(const send_notice_report&) const = default;
+};
+
 using action =
     std::variant<send_call, cancel_call, forward_error_answer, refuse,
-                 send_load_report, send_crash_report, decision_record,
-                 ejection_change, quarantine_change, rate_limit_change>;
+                 send_load_report, send_crash_report, send_notice_report,
+                 decision_record, ejection_change, quarantine_change,
+                 rate_limit_change>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -18,6 +18,7 @@
 /// Settings of the dispatcher of one instance.
 struct dispatch_settings
 {
+    core::instance_id own_instance;
     /// Region of this instance.
     core::region_name own_region;
     retry_budget_settings retry_budget;
@@ -25,9 +26,9 @@
     placement_settings placement;
     lane_settings lanes;
     quarantine_settings quarantine;
-    /// Minimum time between two crash reports to the other instances, and time
-    /// after which what is quarantined is told again.
-    absl::Duration crash_report_spacing = absl::Milliseconds(30);
+    /// Minimum time between two reports of crashes, or of notices, to the other
+    /// instances, and time after which what is quarantined is told again.
+    absl::Duration report_spacing = absl::Milliseconds(30);
     absl::Duration quarantine_report_interval = absl::Seconds(2);
     /// Time that a server has gone on with an answer from which the request is
     /// taken not to crash it.
@@ -57,6 +58,17 @@
     /// multiple of the gap target and this minimum.
     double gap_timeout_target_factor = 3;
     absl::Duration min_gap_timeout = absl::Milliseconds(1200);
+    /// The limit of a server of which nothing was heard for a time is
+    /// forgotten, in case the news that it was lifted was lost. The time is the
+    /// larger of the minimum and that in which the server takes this number of
+    /// requests for each instance.
+    absl::Duration min_limit_lifetime = absl::Minutes(1);
+    double limit_lifetime_factor = 5;
+    /// Requests per second; for a server that takes fewer.
+    double min_limit = 0.1;
+    absl::Duration limit_check_interval = absl::Seconds(1);
+    /// Longest retry-after of a refusal because of the limits of servers.
+    absl::Duration max_retry_after_limited = absl::Seconds(10);
     /// Maximum number of concurrently open requests.
     std::size_t max_open_requests = 4000;
     std::partial_ordering operator<=>(const dispatch_settings&) const = default;
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -30,6 +30,7 @@
     peer_load_.expire_reports(now);
     std::visit([this](const auto& value) { on(value); }, event);
     apply_quarantine();
+    report_notices();
     report_load();
     actions_ = nullptr;
 }
@@ -39,6 +40,8 @@
     absl::Time next = std::min(next_report_at_, next_quarantine_report_at_);
     if (quarantine_.has_changes())
         next = std::min(next, next_crash_report_at_);
+    if (!changed_limits_.empty())
+        next = std::min(next, next_notice_report_at_);
     if (!deadlines_.empty())
         next = std::min(next, deadlines_.begin()->first);
     return next;
@@ -73,6 +76,7 @@
     retry_budget_of(request.service).record_request(now_);
     const auto* service = table_->find_service(request.service);
     request.is_engine = service != nullptr && service->engine.has_value();
+    pool_of(request.service).record_prompt(total_tokens(event.prompt));
     const auto [inserted, is_new] =
         requests_.emplace(event.id.value(), std::move(request));
     assert(is_new);
@@ -118,7 +122,9 @@
     open_request* request = find_request(event.id, event.call);
     if (request == nullptr)
         return;
-    apply_notice(*request, event.notice);
+    // Another server's answer says nothing of the one that was called.
+    if (event.cause != not_run_cause::wrong_server)
+        apply_notice(*request, event.notice);
     if (event.cause == not_run_cause::refused)
         record_alive(*request->call);
     log_decision(*request, decision::not_run, to_string(event.cause));
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -87,9 +87,10 @@
     void on(const routes_changed& event);
     void on(const servers_changed& event);
     void on(const retry_budget_changed& event);
-    void on(const fleet_size_changed& event);
+    void on(const fleet_changed& event);
     void on(const load_report_received& event);
     void on(const crash_report_received& event);
+    void on(const notice_report_received& event);
     void on(const tick& event);
 
     /// Looks up the route and workspace of `request`. Returns the reason to
@@ -118,8 +119,14 @@
     [[nodiscard]] static std::uint32_t
     server_priority(const open_request& request);
     /// True unless the server is draining or has been tried for this request.
-    [[nodiscard]] static bool is_eligible(const open_request& request,
-                                          const server_state& server);
+    [[nodiscard]] static bool is_usable(const open_request& request,
+                                        const server_state& server);
+    /// True for a usable server whose limit allows a further call.
+    [[nodiscard]] bool is_eligible(const open_request& request,
+                                   const server_state& server) const;
+    /// Earliest time at which the limit of a usable server allows a call;
+    /// InfiniteFuture if there is none.
+    [[nodiscard]] absl::Time next_call_at(const open_request& request) const;
     void send_to(open_request& request, const server_view& view);
     /// Sets the first-event and gap timeouts of calls that may be retried.
     void set_stall_timeouts(const open_request& request, double expected_ms,
@@ -161,6 +168,13 @@
     [[nodiscard]] server_state* server_of(const open_request& request);
     /// Applies what a server said of itself in an answer to the open call.
     void apply_notice(const open_request& request, const server_notice& notice);
+    void update_rate_limit(server_state& server, absl::Time heard_at,
+                           std::optional<double> limit);
+    /// Sets the part of its limit that this instance may use.
+    void update_rate_share(server_state& server);
+    void update_rate_shares();
+    void forget_old_limits();
+    void report_notices();
     [[nodiscard]] retry_budget&
     retry_budget_of(const routing::service_name& name);
     /// This instance's share of the connection limit of a server.
@@ -204,6 +218,12 @@
     std::set<std::pair<absl::Time, std::uint64_t>> deadlines_;
     /// Number of instances that share retry budgets and connection limits.
     std::uint32_t instance_count_ = 1;
+    std::vector<core::instance_id> members_;
+    std::set<core::backend_server_id> limited_servers_;
+    /// Servers whose limit has changed since the last report.
+    std::set<core::backend_server_id> changed_limits_;
+    absl::Time next_notice_report_at_ = absl::InfinitePast();
+    absl::Time next_limit_check_at_ = absl::InfinitePast();
     absl::Time next_report_at_ = absl::InfiniteFuture();
     std::uint64_t next_call_id_ = 1;
     absl::Time now_ = absl::InfinitePast();
--- a/oriolefall/dispatch/dispatcher_crashes.cpp
+++ b/oriolefall/dispatch/dispatcher_crashes.cpp
@@ -81,6 +81,10 @@
 absl::Duration dispatcher::retry_after_of(const open_request& request,
                                           refusal cause)
 {
+    if (cause == refusal::servers_limited)
+        return make_retry_after(cause) +
+               std::min(next_call_at(request) - now_,
+                        settings_.max_retry_after_limited);
     if (cause != refusal::quarantined_prompt)
         return make_retry_after(cause);
     const auto* found =
@@ -146,7 +150,7 @@
 void dispatcher::report_crashes()
 {
     if (quarantine_.has_changes() && now_ >= next_crash_report_at_) {
-        next_crash_report_at_ = now_ + settings_.crash_report_spacing;
+        next_crash_report_at_ = now_ + settings_.report_spacing;
         if (auto report = quarantine_.take_changes(now_))
             actions_->push_back(send_crash_report{*std::move(report)});
     }
--- a/oriolefall/dispatch/dispatcher_notices.cpp
+++ b/oriolefall/dispatch/dispatcher_notices.cpp
@@ -1,7 +1,19 @@
 #include "oriolefall/dispatch/dispatcher.hpp"
 
+#include "oriolefall/dispatch/rate_share.hpp"
+
+#include <algorithm>
+#include <utility>
+
 namespace oriolefall::dispatch {
 
+namespace {
+
+/// Maximum number of limits in one report.
+constexpr std::size_t max_reported_limits = 64;
+
+} // namespace
+
 void dispatcher::apply_notice(const open_request& request,
                               const server_notice& notice)
 {
@@ -10,11 +22,111 @@
         return;
     if (notice.load)
         server->update_load(now_, *notice.load);
-    const auto before = server->rate_limit();
-    server->update_rate_limit(now_, request.call->sent_at, notice);
-    if (server->rate_limit() != before)
-        actions_->push_back(
-            rate_limit_change{server->entry().id, server->rate_limit()});
+    // An answer to a call that was sent before the limit was heard may be older
+    // than the limit.
+    const bool says_nothing =
+        notice.is_rate_limit_invalid ||
+        (!notice.rate_limit &&
+         request.call->sent_at <= server->limiter().heard_at());
+    if (!says_nothing)
+        update_rate_limit(*server, now_, notice.rate_limit);
+}
+
+void dispatcher::update_rate_limit(server_state& server, absl::Time heard_at,
+                                   std::optional<double> limit)
+{
+    if (!server.limiter().update(heard_at, limit))
+        return;
+    const auto& id = server.entry().id;
+    if (limit) {
+        limited_servers_.insert(id);
+        update_rate_share(server);
+    } else {
+        limited_servers_.erase(id);
+    }
+    changed_limits_.insert(id);
+    actions_->push_back(rate_limit_change{id, limit});
+}
+
+void dispatcher::update_rate_share(server_state& server)
+{
+    constexpr std::uint64_t steps = 1000;
+    server.limiter().set_share(
+        now_,
+        own_rate_share(*server.limiter().limit(), server.entry().id,
+                       settings_.own_instance, members_, instance_count_),
+        static_cast<double>(hooks_.random() % steps) / steps);
+}
+
+void dispatcher::update_rate_shares()
+{
+    std::erase_if(limited_servers_, [this](const auto& id) {
+        const auto found = servers_.find(id);
+        return found == servers_.end() || !found->second->limiter().limit();
+    });
+    for (const core::backend_server_id& id : limited_servers_)
+        update_rate_share(*servers_.at(id));
+}
+
+void dispatcher::on(const notice_report_received& event)
+{
+    for (const reported_limit& each : event.report.limits) {
+        const auto found = servers_.find(each.server.server);
+        if (found == servers_.end() ||
+            found->second->entry().started_at_ms != each.server.started_at_ms)
+            continue;
+        const absl::Time heard_at = now_ - each.age;
+        if (heard_at > found->second->limiter().heard_at())
+            update_rate_limit(*found->second, heard_at, each.rate_limit);
+    }
+}
+
+void dispatcher::forget_old_limits()
+{
+    if (limited_servers_.empty() || now_ < next_limit_check_at_)
+        return;
+    next_limit_check_at_ = now_ + settings_.limit_check_interval;
+    // Those that are told of a lifted limit need not find out. The others must
+    // not find out all at once.
+    const auto is_old = [this](const core::backend_server_id& id) {
+        const auto found = servers_.find(id);
+        if (found == servers_.end())
+            return false;
+        const rate_limiter& limiter = found->second->limiter();
+        const double limit = std::max(*limiter.limit(), settings_.min_limit);
+        const absl::Duration lifetime =
+            std::max(settings_.min_limit_lifetime,
+                     absl::Seconds(settings_.limit_lifetime_factor *
+                                   instance_count_ / limit));
+        return now_ - limiter.heard_at() > lifetime;
+    };
+    const auto limited = limited_servers_;
+    for (const core::backend_server_id& id : limited)
+        if (is_old(id))
+            update_rate_limit(*servers_.at(id), now_, std::nullopt);
+}
+
+void dispatcher::report_notices()
+{
+    forget_old_limits();
+    if (changed_limits_.empty() || now_ < next_notice_report_at_)
+        return;
+    next_notice_report_at_ = now_ + settings_.report_spacing;
+    notice_report report;
+    while (!changed_limits_.empty() &&
+           report.limits.size() < max_reported_limits) {
+        const auto id =
+            changed_limits_.extract(changed_limits_.begin()).value();
+        const auto found = servers_.find(id);
+        if (found == servers_.end())
+            continue;
+        const rate_limiter& limiter = found->second->limiter();
+        report.limits.push_back({{id, found->second->entry().started_at_ms},
+                                 limiter.limit(),
+                                 now_ - limiter.heard_at()});
+    }
+    if (!report.limits.empty())
+        actions_->push_back(send_notice_report{std::move(report)});
 }
 
 } // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -52,7 +52,9 @@
         return;
     }
     const auto server = choose_server(request);
-    if (!server)
+    if (!server && next_call_at(request) != absl::InfiniteFuture())
+        end_with_refusal(request, refusal::servers_limited);
+    else if (!server)
         end_with_refusal(request, without_server);
     else
         send_to(request, *server);
@@ -98,7 +100,23 @@
 }
 
 bool dispatcher::is_eligible(const open_request& request,
-                             const server_state& server)
+                             const server_state& server) const
+{
+    return is_usable(request, server) && server.limiter().may_send(now_);
+}
+
+absl::Time dispatcher::next_call_at(const open_request& request) const
+{
+    absl::Time next = absl::InfiniteFuture();
+    for (const auto& [id, server] : servers_)
+        if (server->entry().service == request.service &&
+            is_usable(request, *server))
+            next = std::min(next, server->limiter().next_call_at(now_));
+    return next;
+}
+
+bool dispatcher::is_usable(const open_request& request,
+                           const server_state& server)
 {
     const auto& entry = server.entry();
     return !entry.is_draining && !contains(request.tried, entry.id) &&
@@ -125,6 +143,7 @@
     query.body_bytes = request.arrival_event.body_bytes;
     query.own_region = settings_.own_region;
     query.now = now_;
+    query.mean_prompt_tokens = pool.mean_prompt_tokens();
     query.lane = pool.lanes().lane_of(*request.route);
     const auto views = pool.views(query, peer_load_, hooks_.random());
 
@@ -206,6 +225,7 @@
                                       call.uncached_tokens)
             : expected_plain_answer_ms(settings_.placement, view, now_);
     server.record_call_sent(call.uncached_tokens);
+    server.limiter().record_call(now_);
     if (request.is_engine)
         server.cache().record_prefill(request.arrival_event.prompt);
     request.tried.push_back(call.server);
--- a/oriolefall/dispatch/dispatcher_updates.cpp
+++ b/oriolefall/dispatch/dispatcher_updates.cpp
@@ -52,6 +52,7 @@
     for (auto& [name, servers] : by_service)
         pool_of(name).set_servers(std::move(servers));
     update_cache_capacities();
+    update_rate_shares();
 }
 
 void dispatcher::update_cache_capacities()
@@ -74,9 +75,11 @@
         budget.set_settings(event.settings);
 }
 
-void dispatcher::on(const fleet_size_changed& event)
+void dispatcher::on(const fleet_changed& event)
 {
     instance_count_ = std::max(event.instances, settings_.min_instances);
+    members_ = event.members;
+    update_rate_shares();
     // An instance that has appeared may know nothing of the quarantine.
     if (!quarantine_.all().empty())
         next_quarantine_report_at_ = now_;
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/core/ids.hpp"
 #include "oriolefall/dispatch/crash_report.hpp"
 #include "oriolefall/dispatch/load_report.hpp"
+#include "oriolefall/dispatch/notice_report.hpp"
 #include "oriolefall/dispatch/retry_budget.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
 #include "oriolefall/dispatch/server_notice.hpp"
@@ -164,12 +165,14 @@
     operator<=>(const retry_budget_changed&) const = default;
 };
 
-/// The number of instances that share retry budgets and connection limits
-/// changed.
-struct fleet_size_changed
+/// The instances that share retry budgets and the limits of servers changed.
+struct fleet_changed
 {
+    /// Number of those that may be there, also if they can't be reached.
     std::uint32_t instances = 1;
-    auto operator<=>(const fleet_size_changed&) const = default;
+    /// Those that are known to be there, with this one.
+    std::vector<core::instance_id> members;
+    auto operator<=>(const fleet_changed&) const = default;
 };
 
 /// A load report of another instance was received.
@@ -187,17 +190,26 @@
     auto operator<=>(const crash_report_received&) const = default;
 };
 
+/// A notice report of another instance was received.
+struct notice_report_received
+{
+    notice_report report;
+    std::partial_ordering
+    operator<=>(const notice_report_received&) const = default;
+};
+
 /// Lets the dispatcher process the deadlines that have passed.
 struct tick
 {
     auto operator<=>(const tick&) const = default;
 };
 
-using event = std::variant<arrival, caller_left, call_not_run, call_broken,
-                           call_silent, call_answer_started, call_failed,
-                           call_completed, routes_changed, servers_changed,
-                           retry_budget_changed, fleet_size_changed,
-                           load_report_received, crash_report_received, tick>;
+using event =
+    std::variant<arrival, caller_left, call_not_run, call_broken, call_silent,
+                 call_answer_started, call_failed, call_completed,
+                 routes_changed, servers_changed, retry_budget_changed,
+                 fleet_changed, load_report_received, crash_report_received,
+                 notice_report_received, tick>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -47,6 +47,16 @@
                : settings.long_prompt_in_other_lane_ms;
 }
 
+double limited_engine_cost(const placement_settings& settings,
+                           const placement_query& query,
+                           const server_view& view)
+{
+    if (!view.server.limiter().limit())
+        return 0;
+    return settings.ms_per_token_below_mean_at_limited *
+           (query.mean_prompt_tokens - total_tokens(query.prompt));
+}
+
 double affinity_share(const placement_settings& settings, unsigned rank)
 {
     if (rank == 0)
@@ -68,6 +78,7 @@
             return cross_region + warm_up +
                    settings.plain_call_ms * plain_load(view, query.now);
         return cross_region + warm_up + lane_cost(settings, query, view) +
+               limited_engine_cost(settings, query, view) +
                engine_cost(settings, query, view);
     };
 }
@@ -103,6 +114,11 @@
     return all - static_cast<std::uint32_t>(std::max(cached, by_affinity));
 }
 
+bool is_long(const placement_query& query)
+{
+    return total_tokens(query.prompt) > query.mean_prompt_tokens;
+}
+
 std::uint32_t total_tokens(std::span<const prompt_part> prompt)
 {
     return std::accumulate(
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -47,6 +47,9 @@
     /// pauses, and for a long prompt, which delays several such streams.
     double short_pauses_in_other_lane_ms = 120;
     double long_prompt_in_other_lane_ms = 400;
+    /// Cost of a call to an engine with a limit, for each token that the prompt
+    /// is shorter than the mean, in ms: its few calls are for long prompts.
+    double ms_per_token_below_mean_at_limited = 0.03;
     std::partial_ordering
     operator<=>(const placement_settings&) const = default;
 };
@@ -58,6 +61,8 @@
     bool is_engine = false;
     stream_lane lane = stream_lane::long_prompts;
     std::uint32_t body_bytes = 0;
+    /// Mean length of the prompts for the service.
+    double mean_prompt_tokens = 0;
     /// Region of this instance.
     core::region_name own_region;
     absl::Time now;
@@ -103,6 +108,9 @@
                          std::span<const prompt_part> prompt,
                          const server_view& view);
 
+/// True for a prompt that is longer than the mean.
+[[nodiscard]] bool is_long(const placement_query& query);
+
 [[nodiscard]] std::uint32_t total_tokens(std::span<const prompt_part> prompt);
 
 /// All parts of `prompt` but the last, which belongs to the request or session.
--- a/oriolefall/dispatch/server_state.cpp
+++ b/oriolefall/dispatch/server_state.cpp
@@ -35,7 +35,7 @@
         return;
     cache_.clear();
     load_.reset();
-    rate_limit_.reset();
+    limiter_ = {};
     consecutive_failures_ = 0;
     failure_ratio_ = 0;
     recorded_calls_ = 0;
@@ -74,24 +74,6 @@
     calls_since_load_ = 0;
 }
 
-void server_state::update_rate_limit(absl::Time now, absl::Time sent_at,
-                                     const server_notice& notice)
-{
-    if (notice.is_rate_limit_invalid)
-        return;
-    if (notice.rate_limit) {
-        rate_limit_ = notice.rate_limit;
-        rate_limit_heard_at_ = now;
-    } else if (sent_at > rate_limit_heard_at_) {
-        rate_limit_.reset();
-    }
-}
-
-std::optional<double> server_state::rate_limit() const
-{
-    return rate_limit_;
-}
-
 void server_state::record_success(absl::Time)
 {
     consecutive_failures_ = 0;
@@ -206,4 +188,14 @@
     return cache_;
 }
 
+rate_limiter& server_state::limiter()
+{
+    return limiter_;
+}
+
+const rate_limiter& server_state::limiter() const
+{
+    return limiter_;
+}
+
 } // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/server_state.hpp
+++ b/oriolefall/dispatch/server_state.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_DISPATCH_SERVER_STATE_HPP
 
 #include "oriolefall/dispatch/prompt_cache.hpp"
+#include "oriolefall/dispatch/rate_limiter.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
 #include "oriolefall/dispatch/server_notice.hpp"
 
@@ -51,15 +52,6 @@
     void record_call_ended();
     void update_load(absl::Time now, const server_load& load);
 
-    /// Applies the limit that an answer to a call sent at `sent_at` names. An
-    /// answer without one lifts the limit, unless the call was sent before the
-    /// limit was heard: such an answer may be older than the limit.
-    void update_rate_limit(absl::Time now, absl::Time sent_at,
-                           const server_notice& notice);
-    /// Requests per second that the server takes from all instances together;
-    /// empty without a limit.
-    [[nodiscard]] std::optional<double> rate_limit() const;
-
     void record_success(absl::Time now);
     void record_failure(absl::Time now);
     /// Ejects the server: no connection could be opened, or another server
@@ -91,6 +83,8 @@
 
     prompt_cache& cache();
     [[nodiscard]] const prompt_cache& cache() const;
+    rate_limiter& limiter();
+    [[nodiscard]] const rate_limiter& limiter() const;
     /// The server's store entry lapsed while the store could not be reached.
     bool is_stale = false;
 
@@ -100,14 +94,13 @@
     server_entry entry_;
     ejection_settings settings_;
     prompt_cache cache_;
+    rate_limiter limiter_;
     std::uint32_t own_calls_ = 0;
     std::uint64_t own_backlog_ = 0;
     std::optional<server_load> load_;
     absl::Time load_received_at_ = absl::InfinitePast();
     /// Number of own calls sent minus those ended since `load_` was received.
     std::int64_t calls_since_load_ = 0;
-    std::optional<double> rate_limit_;
-    absl::Time rate_limit_heard_at_ = absl::InfinitePast();
     std::uint32_t consecutive_failures_ = 0;
     /// Exponential moving average; the newest call has a weight of 1/8.
     double failure_ratio_ = 0;
--- a/oriolefall/dispatch/service_pool.cpp
+++ b/oriolefall/dispatch/service_pool.cpp
@@ -13,35 +13,44 @@
 
 namespace {
 
-/// Marks the two affinity servers of a key among the servers that `is_allowed`
-/// accepts: those with the highest rendezvous hashing weight, which are the
-/// same on all instances.
+bool is_limited(const server_view& view)
+{
+    return view.server.limiter().limit().has_value();
+}
+
+/// The server with the highest rendezvous hashing weight for a key among those
+/// that `is_allowed` accepts and that have no rank yet; the same on all
+/// instances. Null if there is none.
 template <class Predicate>
-void rank_affinity_servers(std::vector<server_view>& views, std::uint64_t key,
-                           Predicate is_allowed)
+server_view* best_affinity_server(std::vector<server_view>& views,
+                                  const std::string& key, Predicate is_allowed)
 {
-    const std::string key_text = std::to_string(key);
-    server_view* first = nullptr;
-    server_view* second = nullptr;
-    std::uint64_t first_weight = 0;
-    std::uint64_t second_weight = 0;
+    server_view* best = nullptr;
+    std::uint64_t best_weight = 0;
     for (server_view& view : views) {
         const auto& entry = view.server.entry();
-        if (entry.is_draining || !is_allowed(view))
+        if (entry.is_draining || view.affinity_rank != 0 || !is_allowed(view))
             continue;
         const auto weight =
-            membership::rendezvous_weight(key_text, entry.id.value());
-        if (first == nullptr || weight > first_weight) {
-            second = std::exchange(first, &view);
-            second_weight = std::exchange(first_weight, weight);
-        } else if (second == nullptr || weight > second_weight) {
-            second = &view;
-            second_weight = weight;
+            membership::rendezvous_weight(key, entry.id.value());
+        if (best == nullptr || weight > best_weight) {
+            best = &view;
+            best_weight = weight;
         }
     }
-    if (first != nullptr)
+    return best;
+}
+
+/// Marks the two affinity servers of a key: the best of those that `is_first`
+/// accepts, and the next best of those that `is_second` accepts.
+template <class First, class Second>
+void rank_affinity_servers(std::vector<server_view>& views, std::uint64_t key,
+                           First is_first, Second is_second)
+{
+    const std::string key_text = std::to_string(key);
+    if (server_view* first = best_affinity_server(views, key_text, is_first))
         first->affinity_rank = 1;
-    if (second != nullptr)
+    if (server_view* second = best_affinity_server(views, key_text, is_second))
         second->affinity_rank = 2;
 }
 
@@ -85,24 +94,48 @@
     }
     if (query.prompt.size() < 2)
         return views;
-    const auto is_own_lane = [](const server_view& view) {
-        return !view.is_other_lane;
+    const auto is_unlimited = [](const server_view& view) {
+        return !view.is_other_lane && !is_limited(view);
     };
     const std::uint32_t shared =
         total_tokens(query.prompt) - query.prompt.back().tokens;
-    if (!is_divided || shared >= placement_.min_affinity_tokens) {
-        rank_affinity_servers(views, affinity_key(query.prompt), is_own_lane);
+    if (is_divided && shared < placement_.min_affinity_tokens) {
+        // A short shared part is soon read. A key that is asked for often would
+        // overload a few engines.
+        const auto is_near = [&](const server_view& view) {
+            return is_unlimited(view) &&
+                   view.server.entry().location.region == query.own_region;
+        };
+        rank_affinity_servers(views, random, is_near, is_near);
         return views;
     }
-    // A short shared part is soon read. A key that is asked for often would
-    // overload a few engines.
-    rank_affinity_servers(views, random, [&](const server_view& view) {
-        return is_own_lane(view) &&
-               view.server.entry().location.region == query.own_region;
-    });
+    // A server that takes few requests a second takes them in whatever size, so
+    // long prompts go there. What exceeds its limit goes to one without.
+    const std::uint64_t key = affinity_key(query.prompt);
+    if (is_long(query) && std::ranges::any_of(views, is_limited))
+        rank_affinity_servers(
+            views, key,
+            [](const server_view& view) {
+                return !view.is_other_lane && is_limited(view);
+            },
+            is_unlimited);
+    else
+        rank_affinity_servers(views, key, is_unlimited, is_unlimited);
     return views;
 }
 
+void service_pool::record_prompt(std::uint32_t tokens)
+{
+    constexpr std::uint32_t max_counted = 50;
+    counted_prompts_ = std::min(counted_prompts_ + 1, max_counted);
+    mean_prompt_tokens_ += (tokens - mean_prompt_tokens_) / counted_prompts_;
+}
+
+double service_pool::mean_prompt_tokens() const
+{
+    return mean_prompt_tokens_;
+}
+
 double service_pool::mean_slowness() const
 {
     if (servers_.empty())
--- a/oriolefall/dispatch/service_pool.hpp
+++ b/oriolefall/dispatch/service_pool.hpp
@@ -23,6 +23,10 @@
     void set_servers(std::vector<server_state*> servers);
     engine_lanes& lanes();
 
+    /// Counts a prompt for the mean length.
+    void record_prompt(std::uint32_t tokens);
+    [[nodiscard]] double mean_prompt_tokens() const;
+
     /// Views of all servers for the placement of a request. `random` chooses
     /// among the servers that are equally good for a prompt.
     [[nodiscard]] std::vector<server_view> views(const placement_query& query,
@@ -41,6 +45,9 @@
     placement_settings placement_;
     engine_lanes lanes_;
     std::vector<pooled_server> servers_;
+    /// Moving average of the last prompts, and how many it counts.
+    double mean_prompt_tokens_ = 0;
+    std::uint32_t counted_prompts_ = 0;
 };
 
 } // namespace oriolefall::dispatch
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -202,6 +202,7 @@
     void execute(const dispatch::rate_limit_change&) {}
     void execute(const dispatch::send_load_report&) {}
     void execute(const dispatch::send_crash_report&) {}
+    void execute(const dispatch::send_notice_report&) {}
 
     void abort_all()
     {
--- a/oriolefall/peer/message.hpp
+++ b/oriolefall/peer/message.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/core/ids.hpp"
 #include "oriolefall/dispatch/crash_report.hpp"
 #include "oriolefall/dispatch/load_report.hpp"
+#include "oriolefall/dispatch/notice_report.hpp"
 #include "oriolefall/follow/view_message.hpp"
 #include "oriolefall/membership/event.hpp"
 #include "oriolefall/membership/member.hpp"
@@ -85,7 +86,7 @@
                  membership::member_buckets, settings_offer, settings_fetch,
                  settings_answer, dispatch::load_report, key_query, key_answer,
                  follow::view_query, follow::view_update,
-                 dispatch::crash_report>;
+                 dispatch::crash_report, dispatch::notice_report>;
 
 } // namespace oriolefall::peer
 
--- a/oriolefall/peer/message_reader.cpp
+++ b/oriolefall/peer/message_reader.cpp
@@ -1,6 +1,6 @@
 #include "oriolefall/peer/message_reader.hpp"
 
-#include "oriolefall/peer/duration_code.hpp"
+#include "oriolefall/peer/number_codes.hpp"
 
 #include <algorithm>
 #include <array>
@@ -121,6 +121,7 @@
 
 void get(field_reader& from, dispatch::reported_crash& value);
 void get(field_reader& from, dispatch::answered_part& value);
+void get(field_reader& from, dispatch::reported_limit& value);
 void get(field_reader& from, follow::collection_update& value);
 
 template <class T>
@@ -169,6 +170,20 @@
     value.age = get_finite_duration(fields);
 }
 
+void get(field_reader& from, dispatch::reported_limit& value)
+{
+    field_reader fields = from.read_array();
+    get(fields, value.server.server);
+    value.server.started_at_ms =
+        static_cast<std::int64_t>(fields.read_number());
+    const bool has_limit = get_flag(fields);
+    const std::uint64_t permille = fields.read_number();
+    from.require(permille <= max_limit_permille);
+    if (has_limit)
+        value.rate_limit = static_cast<double>(permille) / permille_per_unit;
+    value.age = get_finite_duration(fields);
+}
+
 void get_message(field_reader& from, membership::heartbeat& value)
 {
     value.incarnation = from.read_number();
@@ -246,6 +261,11 @@
     get(from, value.answered);
 }
 
+void get_message(field_reader& from, dispatch::notice_report& value)
+{
+    get(from, value.limits);
+}
+
 template <std::size_t Kind>
 message get_message_of_kind(field_reader& from)
 {
--- a/oriolefall/peer/message_writer.cpp
+++ b/oriolefall/peer/message_writer.cpp
@@ -1,9 +1,10 @@
 #include "oriolefall/peer/message_writer.hpp"
 
-#include "oriolefall/peer/duration_code.hpp"
+#include "oriolefall/peer/number_codes.hpp"
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <cstddef>
 
 namespace oriolefall::peer::detail {
@@ -36,6 +37,7 @@
 void put(packer& to, const dispatch::lane_share& value);
 void put(packer& to, const dispatch::reported_crash& value);
 void put(packer& to, const dispatch::answered_part& value);
+void put(packer& to, const dispatch::reported_limit& value);
 void put(packer& to, const follow::collection_revision& value);
 void put(packer& to, const follow::object_change& value);
 void put(packer& to, const follow::collection_update& value);
@@ -129,6 +131,18 @@
     put_array(to, value.part, to_milliseconds(value.age));
 }
 
+/// In thousandths, after a number that says whether there is a limit.
+void put(packer& to, const dispatch::reported_limit& value)
+{
+    const double permille = value.rate_limit.value_or(0) * permille_per_unit;
+    put_array(to, value.server.server,
+              static_cast<std::uint64_t>(value.server.started_at_ms),
+              std::uint64_t{value.rate_limit.has_value()},
+              static_cast<std::uint64_t>(
+                  std::min<double>(permille, max_limit_permille)),
+              to_milliseconds(value.age));
+}
+
 void put_message(packer& to, std::uint64_t kind,
                  const membership::heartbeat& value)
 {
@@ -199,6 +213,12 @@
     put_array(to, kind, value.crashes, value.answered);
 }
 
+void put_message(packer& to, std::uint64_t kind,
+                 const dispatch::notice_report& value)
+{
+    put_array(to, kind, value.limits);
+}
+
 } // namespace
 
 std::string write_message(const message& value)
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -84,6 +84,9 @@
         else if (const auto* crashes =
                      std::get_if<dispatch::send_crash_report>(&action))
             hooks_.send_crash_report(crashes->report);
+        else if (const auto* notices =
+                     std::get_if<dispatch::send_notice_report>(&action))
+            hooks_.send_notice_report(notices->report);
         else if (const auto* load =
                      std::get_if<dispatch::send_load_report>(&action))
             hooks_.send_load_report(load->report);
--- a/oriolefall/router/decide_duty.hpp
+++ b/oriolefall/router/decide_duty.hpp
@@ -31,6 +31,7 @@
         /// Send the report to the other instances; reports may be lost.
         std::function<void(const dispatch::load_report&)> send_load_report;
         std::function<void(const dispatch::crash_report&)> send_crash_report;
+        std::function<void(const dispatch::notice_report&)> send_notice_report;
     };
 
     decide_duty(dispatch::dispatch_settings settings,
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -55,6 +55,9 @@
                            },
                            [this](const dispatch::crash_report& report) {
                                send_to_peers(report);
+                           },
+                           [this](const dispatch::notice_report& report) {
+                               send_to_peers(report);
                            }},
         max_events_per_request * settings_.forward.max_open_requests);
     forwarder_ = std::make_unique<forward::forwarder>(
@@ -196,6 +199,10 @@
                  std::get_if<dispatch::crash_report>(&message.message))
         static_cast<void>(
             decide_duty_->try_post(dispatch::crash_report_received{*crashes}));
+    else if (const auto* notices =
+                 std::get_if<dispatch::notice_report>(&message.message))
+        static_cast<void>(
+            decide_duty_->try_post(dispatch::notice_report_received{*notices}));
     else if (const auto* query =
                  std::get_if<follow::view_query>(&message.message))
         static_cast<void>(store_duty_->post(
@@ -303,13 +310,17 @@
     log_member_changes(*members_.get(), *members);
     members_.set(members);
     assign_relay_role(*members);
-    const auto participant_count = static_cast<std::uint32_t>(
-        std::ranges::count_if(*members, membership::participates_in_gossip));
+    std::vector<core::instance_id> participants;
+    for (const membership::member& each : *members)
+        if (membership::participates_in_gossip(each))
+            participants.push_back(each.id);
+    const auto participant_count =
+        static_cast<std::uint32_t>(participants.size());
     metrics_.set_instances(participant_count);
     const std::uint32_t budget_share_count =
         peak_instance_count_.update(core::monotonic_now(), participant_count);
     if (!decide_duty_->try_post(
-            dispatch::fleet_size_changed{budget_share_count}))
+            dispatch::fleet_changed{budget_share_count, participants}))
         log_.write("fleet_size_not_told", {});
 }
 
--- a/tests/dispatch/dispatcher_properties_test.cpp
+++ b/tests/dispatch/dispatcher_properties_test.cpp
@@ -209,6 +209,7 @@
     void check(const send_load_report&) {}
     void check(const send_crash_report&) {}
     void check(const quarantine_change&) {}
+    void check(const send_notice_report&) {}
     void check(const rate_limit_change&) {}
     void check(const decision_record&) {}
     void check(const ejection_change&) {}
--- a/tests/dispatch/server_limit_test.cpp
+++ b/tests/dispatch/server_limit_test.cpp
@@ -30,11 +30,17 @@
         for (std::size_t i = 0; i < engines; ++i)
             entries.push_back(
                 make_server_entry("e" + std::to_string(i), "engine"));
-        for (std::size_t i = 0; i < instances; ++i) {
-            instances_.push_back(std::make_unique<dispatcher_simulation>());
+        std::vector<core::instance_id> members;
+        for (std::size_t i = 0; i < instances; ++i)
+            members.emplace_back("instance-" + std::to_string(i));
+        for (const core::instance_id& id : members) {
+            dispatch_settings settings;
+            settings.own_instance = id;
+            instances_.push_back(
+                std::make_unique<dispatcher_simulation>(settings));
             dispatcher_simulation& each = *instances_.back();
             each.step(
-                fleet_size_changed{static_cast<std::uint32_t>(instances)});
+                fleet_changed{static_cast<std::uint32_t>(instances), members});
             each.set_routes(make_route_settings(1));
             each.set_servers(entries);
         }
@@ -49,6 +55,7 @@
             for (const auto& each : instances_)
                 each->advance(interval);
             answer_due_calls();
+            deliver_reports();
         }
     }
 
@@ -147,6 +154,26 @@
         });
     }
 
+    /// Each instance is linked to its two neighbours.
+    void deliver_reports()
+    {
+        const std::size_t size = instances_.size();
+        for (std::size_t from = 0; from < size; ++from) {
+            std::vector<notice_report> reports;
+            auto& actions = instances_[from]->actions;
+            for (const action& each : actions)
+                if (const auto* sent = std::get_if<send_notice_report>(&each))
+                    reports.push_back(sent->report);
+            std::erase_if(actions, [](const action& each) {
+                return std::holds_alternative<send_notice_report>(each);
+            });
+            for (const notice_report& report : reports)
+                for (const std::size_t to :
+                     {(from + 1) % size, (from + size - 1) % size})
+                    instances_[to]->step(notice_report_received{report});
+        }
+    }
+
     std::size_t limited_count_;
     double limit_;
     std::map<core::backend_server_id, std::vector<absl::Time>> arrivals_;
@@ -166,3 +193,128 @@
     fleet.run(absl::Seconds(30), absl::Milliseconds(32));
     cr_assert_leq(fleet.most_in_window(absl::Seconds(4)), fleet.most_allowed());
 }
+
+// Each instance alone would keep a limit that all of them exceed.
+Test(server_limit, is_kept_by_a_hundred_instances)
+{
+    for (const double limit : {0.3, 1.2, 7.0}) {
+        limited_fleet fleet(100, 9, 6, limit);
+        fleet.run(absl::Seconds(25), absl::Milliseconds(10));
+        cr_assert_leq(fleet.most_in_window(absl::Seconds(4)),
+                      fleet.most_allowed());
+        cr_assert_gt(fleet.arrivals_of_limited(), 0);
+    }
+}
+
+Test(server_limit, is_kept_when_all_servers_name_one)
+{
+    limited_fleet fleet(7, 3, 3, 1.2);
+    fleet.run(absl::Seconds(30), absl::Milliseconds(32));
+    cr_assert_leq(fleet.most_in_window(absl::Seconds(4)), fleet.most_allowed());
+    cr_assert_gt(fleet.refused(), 0);
+    for (const auto& each : fleet.instances_) {
+        const auto* refused = each->last<refuse>();
+        if (refused == nullptr)
+            continue;
+        cr_assert(refused->not_run);
+        cr_assert_gt(absl::ToInt64Milliseconds(refused->retry_after), 0);
+    }
+}
+
+// What the servers take is used, not only kept.
+Test(server_limit, is_nearly_used_where_demand_exceeds_it)
+{
+    limited_fleet fleet(7, 3, 3, 1.2);
+    constexpr std::size_t seconds = 60;
+    fleet.run(absl::Seconds(seconds), absl::Milliseconds(32));
+    constexpr auto expected = static_cast<std::size_t>(0.6 * 3 * 1.2 * seconds);
+    cr_assert_geq(fleet.arrivals_of_limited(), expected);
+}
+
+// Instances that no longer send to a limited server can't hear from it that
+// the limit is lifted.
+Test(server_limit, that_is_lifted_is_forgotten_by_all_instances)
+{
+    limited_fleet fleet(30, 9, 6, 1.2);
+    fleet.run(absl::Seconds(10), absl::Milliseconds(20));
+    fleet.lift_limits();
+    fleet.run(absl::Seconds(15), absl::Milliseconds(20));
+    for (const auto& each : fleet.instances_) {
+        std::map<core::backend_server_id, bool> is_limited;
+        for (const action& some : each->actions)
+            if (const auto* change = std::get_if<rate_limit_change>(&some))
+                is_limited[change->server] = change->rate_limit.has_value();
+        cr_assert(std::ranges::none_of(
+            is_limited, [](const auto& server) { return server.second; }));
+    }
+}
+
+Test(server_limit, an_answer_to_an_older_call_does_not_lift_it)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    simulation.set_servers({make_server_entry("e0", "engine")});
+    simulation.receive_request("stream");
+    const send_call older = *simulation.last<send_call>();
+    simulation.receive_request("stream");
+    const send_call limited = *simulation.last<send_call>();
+    simulation.advance(absl::Milliseconds(100));
+    simulation.step(
+        call_answer_started{limited.id, limited.call, 200, {{}, 0.0, false}});
+    simulation.step(call_answer_started{older.id, older.call, 200, {}});
+    simulation.receive_request("stream");
+    cr_assert_eq(simulation.count<send_call>(), 2);
+    cr_assert_eq(simulation.last<refuse>()->cause, refusal::no_server);
+}
+
+Test(server_limit, of_a_server_does_not_outlive_its_restart)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    auto engine = make_server_entry("e0", "engine");
+    simulation.set_servers({engine});
+    simulation.receive_request("stream");
+    const send_call call = *simulation.last<send_call>();
+    simulation.step(
+        call_answer_started{call.id, call.call, 200, {{}, 0.0, false}});
+    ++engine.started_at_ms;
+    simulation.set_servers({engine});
+    simulation.receive_request("stream");
+    cr_assert_eq(simulation.count<send_call>(), 2);
+}
+
+// A server counts requests, so the few that it takes had better be those that
+// spare the other servers most work.
+Test(server_limit, is_used_for_long_prompts)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    simulation.set_servers(
+        {make_server_entry("e0", "engine"), make_server_entry("e1", "engine")});
+    std::uint64_t own_part = 1000;
+    const auto send = [&](std::uint64_t shared, std::uint32_t tokens) {
+        simulation.receive_request("stream",
+                                   {{shared, tokens}, {++own_part, 100}});
+        return *simulation.last<send_call>();
+    };
+    const auto complete = [&](const send_call& call, server_notice notice) {
+        simulation.step(call_answer_started{call.id, call.call, 200, notice});
+        simulation.step(call_completed{call.id, call.call, 8, {}});
+    };
+    constexpr std::uint32_t short_tokens = 300;
+    constexpr std::uint32_t long_tokens = 9000;
+    for (std::uint64_t i = 0; i < 10; ++i)
+        complete(send(i, i % 2 == 0 ? short_tokens : long_tokens), {});
+    send_call call = send(50, short_tokens);
+    const auto limited = call.server;
+    complete(call, {{}, 1.0, false});
+    for (std::uint64_t i = 0; i < 30; ++i) {
+        simulation.advance(absl::Seconds(5));
+        call = send(100 + i, short_tokens);
+        cr_assert_neq(call.server.value(), limited.value());
+        complete(call, {});
+        call = send(200 + i, long_tokens);
+        cr_assert_eq(call.server.value(), limited.value());
+        complete(call, {{}, 1.0, false});
+    }
+}
--- a/tests/peer/any_message.cpp
+++ b/tests/peer/any_message.cpp
@@ -125,6 +125,18 @@
         })};
 }
 
+message any_notice_report()
+{
+    return dispatch::notice_report{any_list<dispatch::reported_limit>([] {
+        dispatch::reported_limit value;
+        value.server = {any_id<core::backend_server_id>(), any<std::int64_t>()};
+        if (any<bool>())
+            value.rate_limit = *rc::gen::inRange(0, 1'000'000'000) / 1000.0;
+        value.age = any_finite_age();
+        return value;
+    })};
+}
+
 message any_settings_message(int kind)
 {
     switch (kind) {
@@ -168,7 +180,7 @@
 
 message any_message()
 {
-    const int kind = *rc::gen::inRange(0, 12);
+    const int kind = *rc::gen::inRange(0, 13);
     if (kind < 3)
         return any_membership_message(kind);
     if (kind < 6)
@@ -179,6 +191,8 @@
         return any_view_message(kind - 8);
     if (kind == 10)
         return any_crash_report();
+    if (kind == 11)
+        return any_notice_report();
     return dispatch::load_report{
         any_list<dispatch::server_load_share>(any_server_share),
         any_list<dispatch::lane_share>(any_lane_share)};
