net: access to header fields in one place; forward reads its own

Content-Type and Keep-Alive are HTTP's, not the platform's: `forward` reads them where it needs them, so that an adapter does not have to.

--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/forward/exchange.hpp"
 
 #include "oriolefall/core/clock.hpp"
+#include "oriolefall/net/header_fields.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,12 @@
 constexpr unsigned first_server_error = 500;
 constexpr unsigned success_class = 2;
 
+bool is_event_stream(const answer_head& head)
+{
+    return net::field_value(head, "Content-Type")
+        .starts_with("text/event-stream");
+}
+
 bool is_success(unsigned status)
 {
     return status / 100 == success_class;
@@ -152,15 +159,17 @@
     if (!head_info_.matches_request)
         return false;
     answer_head_ = head;
-    if (head_info_.keep_alive_timeout && server_)
-        server_->set_keep_alive_timeout(*head_info_.keep_alive_timeout);
+    const auto keep_alive =
+        parse_keep_alive_timeout(net::field_value(head, "Keep-Alive"));
+    if (keep_alive && server_)
+        server_->set_keep_alive_timeout(*keep_alive);
     const unsigned status = head.result_int();
     if (head_info_.not_run || head_info_.wrong_server) {
         forwarding_ = forwarding::discarded;
     } else if (is_success(status) && !head_info_.is_signed) {
         on_failed(call_error::malformed);
     } else if (is_success(status) && current_call_->is_stream &&
-               head_info_.is_event_stream) {
+               is_event_stream(head)) {
         forwarding_ = forwarding::events;
     } else if (is_answer_started_) {
         // Part of an earlier answer has been written already; only a stream
--- a/oriolefall/forward/protocol_hooks.hpp
+++ b/oriolefall/forward/protocol_hooks.hpp
@@ -42,12 +42,8 @@
     bool wrong_server = false;
     /// The answer has the server's signature.
     bool is_signed = false;
-    /// The body is a stream of server-sent events.
-    bool is_event_stream = false;
     dispatch::server_notice notice;
-    /// How long the server keeps an idle connection open, if announced.
-    std::optional<std::chrono::milliseconds> keep_alive_timeout;
-    auto operator<=>(const answer_head_info&) const = default;
+    std::partial_ordering operator<=>(const answer_head_info&) const = default;
 };
 
 /// Encoding and decoding of requests and answers. All hooks are called on the
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -234,15 +234,11 @@
     head.set("Oriolefall-Attempt-Id", "id-1");
     head.set("Oriolefall-Server-Seal", "s");
     head.set("Oriolefall-Server-Load", "3,1,8");
-    head.set("Content-Type", "text/event-stream");
-    head.set("Keep-Alive", "timeout=4, max=9");
     const auto protocol = make_request_protocol();
     auto facts = protocol.read_answer(some_head(), head);
-    cr_assert(facts.matches_request && facts.is_signed &&
-              facts.is_event_stream);
+    cr_assert(facts.matches_request && facts.is_signed);
     cr_assert_not(facts.not_run);
     cr_assert(*facts.notice.load == (dispatch::server_load{3, 1, 8}));
-    cr_assert_eq(facts.keep_alive_timeout->count(), 4000);
     head.set("Oriolefall-Attempt-Id", "id-0");
     head.set("Oriolefall-Not-Executed", "1");
     head.result(421);
--- a/tests/forward/test_protocol.cpp
+++ b/tests/forward/test_protocol.cpp
@@ -40,8 +40,6 @@
             value_of(head, "X-Request") == value_of(request, "X-Request");
         info.is_signed = !value_of(head, "X-Signed").empty();
         info.not_run = !value_of(head, "X-Not-Run").empty();
-        info.is_event_stream =
-            value_of(head, "Content-Type") == "text/event-stream";
         return info;
     };
     return hooks;
