dispatch: a server that says that it leaves gets no more calls (DRAIN)

Callers could be sent to a server after it had told this very instance that it leaves, until the store's list said so too, and again when a later list did not. Cause: only the list decided. Now the word of a server's incarnation holds whatever the store says before or after it, for new calls, retries and as an affinity server; it ends with the incarnation. Peers are not told: the store does that, and an instance hears it with its first answer.

--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -119,7 +119,8 @@
                            const server_state& server)
 {
     const auto& entry = server.entry();
-    return !entry.is_draining && !contains(request.tried, entry.id) &&
+    return !entry.is_draining && !server.words.is_leaving &&
+           !contains(request.tried, entry.id) &&
            !contains(request.unreachable, entry.id);
 }
 
--- /dev/null
+++ b/tests/dispatch/server_words_test.cpp
@@ -0,0 +1,97 @@
+#include "dispatcher_simulation.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace oriolefall;
+using namespace oriolefall::dispatch;
+using tests::dispatcher_simulation;
+using tests::make_route_settings;
+using tests::make_server_entry;
+
+namespace {
+
+server_notice leaving()
+{
+    server_notice notice;
+    notice.is_leaving = true;
+    return notice;
+}
+
+/// One plain server, and what it says in its first answer.
+struct one_server_simulation : dispatcher_simulation
+{
+    explicit one_server_simulation(const server_notice& notice)
+    {
+        set_routes(make_route_settings(1));
+        set_servers({entry});
+        receive_request("unsafe");
+        const send_call call = *last<send_call>();
+        step(call_not_run{call.id, call.call, not_run_cause::refused, notice});
+    }
+
+    /// True when a request is sent to the server; else it must have been
+    /// refused as not run.
+    bool is_sent()
+    {
+        const std::size_t before = count<send_call>();
+        receive_request("unsafe");
+        if (count<send_call>() > before) {
+            const send_call call = *last<send_call>();
+            step(call_answer_started{call.id, call.call, 200, {}});
+            step(call_completed{call.id, call.call, 0, {}});
+            return true;
+        }
+        cr_assert(last<refuse>()->not_run);
+        cr_assert(last<refuse>()->retry_after > absl::ZeroDuration());
+        return false;
+    }
+
+    server_entry entry = make_server_entry("d1", "desk");
+};
+
+} // namespace
+
+// A server that had said that it leaves got requests until the store said so
+// too, and again when a list came that did not.
+Test(server_words, a_server_that_leaves_gets_nothing_whatever_the_store_says)
+{
+    one_server_simulation simulation(leaving());
+    cr_assert_not(simulation.is_sent());
+    simulation.set_servers({simulation.entry});
+    cr_assert_not(simulation.is_sent());
+    simulation.set_servers({});
+    simulation.set_servers({simulation.entry});
+    cr_assert_not(simulation.is_sent());
+    simulation.advance(absl::Hours(1));
+    cr_assert_not(simulation.is_sent());
+}
+
+Test(server_words, leaving_ends_with_the_incarnation)
+{
+    one_server_simulation simulation(leaving());
+    ++simulation.entry.started_at_ms;
+    simulation.set_servers({simulation.entry});
+    cr_assert(simulation.is_sent());
+}
+
+Test(server_words, another_server_at_the_address_is_used)
+{
+    one_server_simulation simulation(leaving());
+    simulation.set_servers({make_server_entry("d2", "desk")});
+    cr_assert(simulation.is_sent());
+}
+
+// The answer came from the server that has the address now.
+Test(server_words, of_another_server_say_nothing_of_the_one_called)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    simulation.set_servers({make_server_entry("d1", "desk")});
+    simulation.receive_request("unsafe");
+    const send_call call = *simulation.last<send_call>();
+    simulation.step(call_not_run{call.id, call.call,
+                                 not_run_cause::wrong_server, leaving()});
+    cr_assert_eq(simulation.count<server_said>(), 0);
+}
