--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -67,8 +67,6 @@
     /// Requests per second; for a server that takes fewer.
     double min_limit = 0.1;
     absl::Duration limit_check_interval = absl::Seconds(1);
-    /// Longest retry-after of a refusal because of the limits of servers.
-    absl::Duration max_retry_after_limited = absl::Seconds(10);
     /// Share by which the time that a server wants no calls is made longer at
     /// random, so that instances don't return to it together.
     double max_quiet_time_spread = 0.1;
--- a/oriolefall/dispatch/dispatcher_crashes.cpp
+++ b/oriolefall/dispatch/dispatcher_crashes.cpp
@@ -83,8 +83,7 @@
 {
     if (cause == refusal::servers_limited)
         return make_retry_after(cause) +
-               std::min(next_call_at(request) - now_,
-                        settings_.max_retry_after_limited);
+               std::max(next_call_at(request) - now_, absl::ZeroDuration());
     if (cause != refusal::quarantined_prompt)
         return make_retry_after(cause);
     const auto* found =
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -102,7 +102,8 @@
 bool dispatcher::is_eligible(const open_request& request,
                              const server_state& server) const
 {
-    return is_usable(request, server) && server.limiter().may_send(now_);
+    return is_usable(request, server) && now_ >= server.words.quiet_until &&
+           server.limiter().may_send(now_);
 }
 
 absl::Time dispatcher::next_call_at(const open_request& request) const
@@ -111,7 +112,9 @@
     for (const auto& [id, server] : servers_)
         if (server->entry().service == request.service &&
             is_usable(request, *server))
-            next = std::min(next, server->limiter().next_call_at(now_));
+            next =
+                std::min(next, std::max(server->words.quiet_until,
+                                        server->limiter().next_call_at(now_)));
     return next;
 }
 
--- a/tests/dispatch/server_words_test.cpp
+++ b/tests/dispatch/server_words_test.cpp
@@ -19,6 +19,13 @@
     return notice;
 }
 
+server_notice quiet(absl::Duration time)
+{
+    server_notice notice;
+    notice.quiet_time = time;
+    return notice;
+}
+
 /// One plain server, and what it says in its first answer.
 struct one_server_simulation : dispatcher_simulation
 {
@@ -83,6 +90,45 @@
     cr_assert(simulation.is_sent());
 }
 
+// A server that had asked for a pause got the next request at once.
+Test(server_words, a_server_that_wants_quiet_gets_nothing_until_then)
+{
+    one_server_simulation simulation(quiet(absl::Seconds(3)));
+    cr_assert_not(simulation.is_sent());
+    cr_assert_eq(simulation.last<refuse>()->cause, refusal::servers_limited);
+    cr_assert_geq(
+        absl::ToInt64Milliseconds(simulation.last<refuse>()->retry_after),
+        3000);
+    simulation.advance(absl::Milliseconds(2990));
+    simulation.set_servers({});
+    simulation.set_servers({simulation.entry});
+    cr_assert_not(simulation.is_sent());
+    simulation.advance(absl::Milliseconds(400));
+    cr_assert(simulation.is_sent());
+}
+
+Test(server_words, a_time_of_zero_is_no_time)
+{
+    one_server_simulation simulation(quiet(absl::ZeroDuration()));
+    cr_assert(simulation.is_sent());
+}
+
+Test(server_words, a_shorter_time_does_not_end_a_longer_one)
+{
+    one_server_simulation simulation(quiet(absl::Seconds(1)));
+    simulation.advance(absl::Milliseconds(1200));
+    simulation.receive_request("unsafe");
+    const send_call first = *simulation.last<send_call>();
+    simulation.receive_request("unsafe");
+    const send_call second = *simulation.last<send_call>();
+    simulation.step(call_not_run{first.id, first.call, not_run_cause::refused,
+                                 quiet(absl::Seconds(20))});
+    simulation.step(call_not_run{second.id, second.call, not_run_cause::refused,
+                                 quiet(absl::Seconds(1))});
+    simulation.advance(absl::Seconds(10));
+    cr_assert_not(simulation.is_sent());
+}
+
 // The answer came from the server that has the address now.
 Test(server_words, of_another_server_say_nothing_of_the_one_called)
 {
@@ -95,3 +141,18 @@
                                  not_run_cause::wrong_server, leaving()});
     cr_assert_eq(simulation.count<server_said>(), 0);
 }
+
+Test(server_words, the_request_that_was_refused_goes_elsewhere)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    simulation.set_servers(
+        {make_server_entry("d1", "desk"), make_server_entry("d2", "desk")});
+    simulation.receive_request("unsafe");
+    const send_call first = *simulation.last<send_call>();
+    simulation.step(call_not_run{first.id, first.call, not_run_cause::refused,
+                                 quiet(absl::Seconds(5))});
+    cr_assert_eq(simulation.count<send_call>(), 2);
+    cr_assert_neq(simulation.last<send_call>()->server.value(),
+                  first.server.value());
+}
