dispatch: a limit that a server named outlives its absence from the store's list

A list without a limited server, and the next one with it again, made this instance forget the limit that the same incarnation still names: until the next answer or report it sent there without bound. Cause: the limit lived in the entry's state alone. `server_words` now keeps it by incarnation while the store does not list the server.

--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -169,6 +169,8 @@
     [[nodiscard]] server_state* server_of(const open_request& request);
     /// Applies what a server said of itself in an answer to the open call.
     void apply_notice(const open_request& request, const server_notice& notice);
+    /// A server that the store lists again has the limit that it had.
+    void restore_limiter(server_state& added);
     void apply_words(server_state& server, const server_notice& notice);
     void update_rate_limit(server_state& server, absl::Time heard_at,
                            std::optional<double> limit);
--- a/oriolefall/dispatch/dispatcher_updates.cpp
+++ b/oriolefall/dispatch/dispatcher_updates.cpp
@@ -34,12 +34,17 @@
             auto added =
                 std::make_unique<server_state>(entry, settings_.ejection);
             added->set_initial_slowness(pool_of(entry.service).mean_slowness());
+            restore_limiter(*added);
             next.emplace(entry.id, std::move(added));
             continue;
         }
         found->second->update_entry(entry);
         next.emplace(entry.id, std::move(found->second));
     }
+    for (const auto& [id, server] : servers_)
+        if (server && server->limiter().limit())
+            words_.keep_limiter({id, server->entry().started_at_ms},
+                                server->limiter());
     servers_ = std::move(next);
     std::map<routing::service_name, std::vector<server_state*>> by_service;
     for (auto& [name, pool] : pools_)
@@ -56,6 +61,14 @@
     update_rate_shares();
 }
 
+void dispatcher::restore_limiter(server_state& added)
+{
+    const auto& entry = added.entry();
+    added.limiter() = words_.take_limiter({entry.id, entry.started_at_ms});
+    if (added.limiter().limit())
+        limited_servers_.insert(entry.id);
+}
+
 void dispatcher::update_cache_capacities()
 {
     if (!table_)
--- a/oriolefall/dispatch/server_words.cpp
+++ b/oriolefall/dispatch/server_words.cpp
@@ -21,6 +21,19 @@
     return true;
 }
 
+void server_words::keep_limiter(const server_incarnation& server,
+                                const rate_limiter& limiter)
+{
+    if (limiters_.size() < capacity_)
+        limiters_.insert_or_assign(server, limiter);
+}
+
+rate_limiter server_words::take_limiter(const server_incarnation& server)
+{
+    const auto found = limiters_.extract(server);
+    return found.empty() ? rate_limiter() : found.mapped();
+}
+
 server_words::standing server_words::of(const server_incarnation& server) const
 {
     const auto found = standings_.find(server);
--- a/oriolefall/dispatch/server_words.hpp
+++ b/oriolefall/dispatch/server_words.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_DISPATCH_SERVER_WORDS_HPP
 
 #include "oriolefall/dispatch/crash_report.hpp"
+#include "oriolefall/dispatch/rate_limiter.hpp"
 
 #include <absl/time/time.h>
 
@@ -29,6 +30,11 @@
     /// Both return false when that was known already.
     bool set_leaving(const server_incarnation& server);
     bool set_quiet(const server_incarnation& server, absl::Time until);
+    /// Keeps the limit of a server that the store no longer lists.
+    void keep_limiter(const server_incarnation& server,
+                      const rate_limiter& limiter);
+    /// Takes it out; without limit if there is none.
+    [[nodiscard]] rate_limiter take_limiter(const server_incarnation& server);
     [[nodiscard]] standing of(const server_incarnation& server) const;
 
 private:
@@ -36,6 +42,7 @@
 
     std::size_t capacity_;
     std::map<server_incarnation, standing> standings_;
+    std::map<server_incarnation, rate_limiter> limiters_;
     /// Oldest first.
     std::deque<server_incarnation> order_;
 };
--- a/tests/dispatch/server_limit_test.cpp
+++ b/tests/dispatch/server_limit_test.cpp
@@ -325,3 +325,31 @@
         complete(call, limited_to(1.0));
     }
 }
+
+Test(server_limit, survives_that_the_store_drops_the_server_until_it_is_lifted)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    const auto engine = make_server_entry("e0", "engine");
+    const auto drop_and_list = [&] {
+        simulation.set_servers({});
+        simulation.set_servers({engine});
+    };
+    simulation.set_servers({engine});
+    simulation.receive_request("stream");
+    const send_call first = *simulation.last<send_call>();
+    simulation.receive_request("stream");
+    simulation.step(
+        call_answer_started{first.id, first.call, 200, limited_to(1000)});
+    drop_and_list();
+    simulation.advance(absl::Seconds(1));
+    simulation.receive_request("stream");
+    const send_call later = *simulation.last<send_call>();
+    simulation.advance(absl::Seconds(1));
+    simulation.step(call_answer_started{later.id, later.call, 200, {}});
+    cr_assert_not(simulation.last<rate_limit_change>()->rate_limit.has_value());
+    drop_and_list();
+    for (int i = 0; i < 5; ++i)
+        simulation.receive_request("stream");
+    cr_assert_eq(simulation.count<refuse>(), 0);
+}
