forward: withhold a call whose server has said meanwhile that it takes none

A call that was decided on before a server's answer to another call had been processed was still written to that server: it waited in the ring to the forwarding thread, or for its connection to open. A paused process made that window as long as the pause. Now the forwarding thread, which sees each answer first, remembers leaving and quiet by incarnation too (`server_words`), and checks where a request is about to be written: when the action is executed, and again when a new connection has opened. A withheld call has not run (`withheld`) and is placed anew.

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -22,6 +22,8 @@
     core::request_id id;
     core::call_id call;
     core::backend_server_id server;
+    /// Identifies the server's incarnation.
+    std::int64_t server_started_at_ms = 0;
     core::endpoint endpoint;
     /// Maximum number of connections from this instance to the server.
     std::uint32_t connection_limit = 0;
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -238,6 +238,7 @@
     outgoing.id = request.arrival_event.id;
     outgoing.call = call.id;
     outgoing.server = call.server;
+    outgoing.server_started_at_ms = call.server_started_at_ms;
     outgoing.endpoint = server.entry().endpoint;
     outgoing.connection_limit = connection_limit_share(request);
     if (request.workspace != nullptr)
--- a/oriolefall/dispatch/event.cpp
+++ b/oriolefall/dispatch/event.cpp
@@ -6,8 +6,9 @@
 
 std::string_view to_string(not_run_cause value)
 {
-    static constexpr std::array<std::string_view, 4> names{
-        "not_connected", "no_room", "refused_by_server", "wrong_server"};
+    static constexpr std::array<std::string_view, 5> names{
+        "not_connected", "no_room", "refused_by_server", "wrong_server",
+        "withheld"};
     return names.at(static_cast<std::size_t>(value));
 }
 
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -64,7 +64,8 @@
     not_connected, ///< no connection could be opened
     no_room,       ///< the connection limit of the server was reached
     refused,       ///< the server reported that it did not run the call
-    wrong_server   ///< another server answers at the address
+    wrong_server,  ///< another server answers at the address
+    withheld       ///< the server has said meanwhile that it takes no calls
 };
 
 [[nodiscard]] std::string_view to_string(not_run_cause value);
--- a/oriolefall/dispatch/server_words.hpp
+++ b/oriolefall/dispatch/server_words.hpp
@@ -22,6 +22,10 @@
     {
         bool is_leaving = false;
         absl::Time quiet_until = absl::InfinitePast();
+        [[nodiscard]] bool takes_calls(absl::Time now) const
+        {
+            return !is_leaving && now >= quiet_until;
+        }
     };
 
     /// `capacity` is the maximum number of incarnations that are remembered.
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -46,14 +46,18 @@
     has_reported_answer_ = false;
     splitter_ = event_splitter(splitter_.last_event_id());
     discarded_bytes_ = 0;
+    head_info_ = {};
     sent_at_ = core::monotonic_now();
     last_event_at_ = absl::InfiniteFuture();
+    if (!may_send()) {
+        report_not_run(dispatch::not_run_cause::withheld);
+        return;
+    }
     start_stall_timer(action.first_event_timeout);
     server_ = dependencies_.servers.start(action, body_,
                                           make_call_hooks(action.call));
     if (server_ == nullptr)
-        dependencies_.report(dispatch::call_not_run{
-            id_, action.call, dispatch::not_run_cause::no_room, {}});
+        report_not_run(dispatch::not_run_cause::no_room);
 }
 
 void exchange::execute(const dispatch::cancel_call& action)
@@ -121,6 +125,7 @@
             handler(*self);
     };
     call_hooks hooks;
+    hooks.may_send = [self = shared_from_this()] { return self->may_send(); };
     hooks.format_request_head = [self = shared_from_this()] {
         return self->format_request_head();
     };
@@ -153,12 +158,33 @@
                                                 additions);
 }
 
+bool exchange::may_send() const
+{
+    const dispatch::server_incarnation server{
+        current_call_->server, current_call_->server_started_at_ms};
+    return dependencies_.words.of(server).takes_calls(core::monotonic_now());
+}
+
+void exchange::record_words()
+{
+    const dispatch::server_notice& notice = head_info_.notice;
+    const dispatch::server_incarnation server{
+        current_call_->server, current_call_->server_started_at_ms};
+    if (notice.is_leaving)
+        dependencies_.words.set_leaving(server);
+    if (notice.quiet_time)
+        dependencies_.words.set_quiet(server, core::monotonic_now() +
+                                                  *notice.quiet_time);
+}
+
 bool exchange::on_head(const answer_head& head)
 {
     head_info_ = dependencies_.protocol.read_answer(request_, head);
     if (!head_info_.matches_request)
         return false;
     answer_head_ = head;
+    if (!head_info_.wrong_server)
+        record_words();
     const auto keep_alive =
         parse_keep_alive_timeout(net::field_value(head, "Keep-Alive"));
     if (keep_alive && server_)
@@ -201,30 +227,34 @@
     case forwarding::discarded:
         discarded_bytes_ += bytes.size();
         if (discarded_bytes_ > dependencies_.settings.max_buffered_answer_bytes)
-            report_not_run();
+            report_refused();
         break;
     default:
         break;
     }
 }
 
-void exchange::report_not_run()
+void exchange::report_not_run(dispatch::not_run_cause cause)
 {
     const core::call_id call = current_call_->call;
-    const auto cause = head_info_.wrong_server
-                           ? dispatch::not_run_cause::wrong_server
-                           : dispatch::not_run_cause::refused;
     abort_call();
     dependencies_.report(
         dispatch::call_not_run{id_, call, cause, head_info_.notice});
 }
 
+void exchange::report_refused()
+{
+    report_not_run(head_info_.wrong_server
+                       ? dispatch::not_run_cause::wrong_server
+                       : dispatch::not_run_cause::refused);
+}
+
 void exchange::on_done(answer_end end)
 {
     const core::call_id call = current_call_->call;
     server_.reset();
     if (forwarding_ == forwarding::discarded) {
-        report_not_run();
+        report_refused();
         return;
     }
     if (forwarding_ == forwarding::events) {
@@ -270,16 +300,15 @@
 
 void exchange::on_failed(call_error error)
 {
-    const core::call_id call = current_call_->call;
+    if (error == call_error::not_connected || error == call_error::withheld) {
+        report_not_run(error == call_error::withheld
+                           ? dispatch::not_run_cause::withheld
+                           : dispatch::not_run_cause::not_connected);
+        return;
+    }
     if (server_)
         server_->abort();
     server_.reset();
-    if (error == call_error::not_connected) {
-        current_call_.reset();
-        dependencies_.report(dispatch::call_not_run{
-            id_, call, dispatch::not_run_cause::not_connected, {}});
-        return;
-    }
     report_broken(error == call_error::malformed
                       ? dispatch::broken_cause::malformed
                       : dispatch::broken_cause::connection_lost);
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef ORIOLEFALL_FORWARD_EXCHANGE_HPP
 #define ORIOLEFALL_FORWARD_EXCHANGE_HPP
 
+#include "oriolefall/dispatch/server_words.hpp"
 #include "oriolefall/forward/caller_connection.hpp"
 #include "oriolefall/forward/event_splitter.hpp"
 #include "oriolefall/forward/http_text.hpp"
@@ -30,6 +31,8 @@
         const forward_settings& settings;
         const protocol_hooks& protocol;
         server_connection_pool& servers;
+        /// What servers have said, known here before any decision is.
+        dispatch::server_words& words;
         event_sink report;
         /// The exchange has finished; called once, as the last hook.
         std::function<void(core::request_id)> on_finished;
@@ -64,6 +67,10 @@
 
     [[nodiscard]] call_hooks make_call_hooks(core::call_id call);
     [[nodiscard]] std::string format_request_head();
+    /// False when the server has said that it takes no calls, perhaps after it
+    /// was chosen.
+    [[nodiscard]] bool may_send() const;
+    void record_words();
     bool on_head(const answer_head& head);
     void on_body(std::string_view bytes);
     void on_done(answer_end end);
@@ -77,8 +84,10 @@
     void apply_backpressure();
     void abort_call();
     void finish(bool keep_alive);
-    /// The server has said that it did not run the request.
-    void report_not_run();
+    /// The request has certainly not run in the current call.
+    void report_not_run(dispatch::not_run_cause cause);
+    /// The server has said so.
+    void report_refused();
     void report_broken(dispatch::broken_cause cause);
     /// Checks after `timeout` whether the call has stalled.
     void start_stall_timer(absl::Duration timeout);
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -28,7 +28,8 @@
                forwarder_hooks hooks)
         : settings_(std::move(settings)), protocol_(std::move(protocol)),
           hooks_(std::move(hooks)), acceptor_(context_),
-          server_connections_(context_, settings_), actions_(max_queued_actions)
+          server_connections_(context_, settings_),
+          words_(settings_.max_server_words), actions_(max_queued_actions)
     {
     }
 
@@ -138,7 +139,7 @@
         current = std::make_shared<exchange>(
             id, std::move(request), caller.shared_from_this(),
             exchange::dependencies{
-                context_, settings_, protocol_, server_connections_,
+                context_, settings_, protocol_, server_connections_, words_,
                 [this](dispatch::event event) { report(std::move(event)); },
                 [this, &current, keep_alive = caller.shared_from_this()](
                     core::request_id finished) {
@@ -223,6 +224,7 @@
     asio::io_context context_{1};
     tcp::acceptor acceptor_;
     server_connection_pool server_connections_;
+    dispatch::server_words words_;
     action_ring actions_;
     /// A call of `execute_actions` is posted and has not started.
     std::atomic<bool> is_wakeup_pending_ = false;
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -94,6 +94,10 @@
     }
     is_connected_ = true;
     timer_.cancel();
+    if (!call_->may_send()) {
+        fail(call_error::withheld);
+        return;
+    }
     set_options();
     send();
     read();
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -20,6 +20,7 @@
 enum class call_error : std::uint8_t
 {
     not_connected,   ///< no connection was opened and nothing was sent
+    withheld,        ///< `may_send` was false and nothing was sent
     connection_lost, ///< closed or reset before the end of the answer
     malformed        ///< the received bytes are no valid answer
 };
@@ -35,6 +36,8 @@
 /// after `abort`.
 struct call_hooks
 {
+    /// Asked once a new connection is open; false ends the call unsent.
+    std::function<bool()> may_send;
     /// Formats the head of the request, right before it is sent.
     std::function<std::string()> format_request_head;
     /// Returns false to discard this answer and wait for the next one.
--- a/tests/forward/forwarder_fixture.cpp
+++ b/tests/forward/forwarder_fixture.cpp
@@ -68,9 +68,11 @@
 
 dispatch::send_call
 forwarder_fixture::send_call(const dispatch::arrival& request,
-                             const scripted_server& server, std::uint64_t call)
+                             const scripted_server& server, std::uint64_t call,
+                             std::int64_t server_started_at_ms)
 {
     dispatch::send_call action = make_call(request, server, call);
+    action.server_started_at_ms = server_started_at_ms;
     submit(action);
     return action;
 }
--- a/tests/forward/forwarder_fixture.hpp
+++ b/tests/forward/forwarder_fixture.hpp
@@ -32,10 +32,12 @@
     }
     /// Throws when the forwarding duty has no room for the action.
     void submit(const dispatch::action& action);
-    /// Starts call `call` of the request at the server and returns its action.
+    /// Starts call `call` of the request at this incarnation of the server and
+    /// returns its action.
     dispatch::send_call send_call(const dispatch::arrival& request,
                                   const scripted_server& server,
-                                  std::uint64_t call = 1);
+                                  std::uint64_t call = 1,
+                                  std::int64_t server_started_at_ms = 0);
     /// The same for a stream whose events may be so far apart.
     void
     send_stream_call(const dispatch::arrival& request,
--- a/tests/forward/test_protocol.cpp
+++ b/tests/forward/test_protocol.cpp
@@ -40,6 +40,10 @@
             value_of(head, "X-Request") == value_of(request, "X-Request");
         info.is_signed = !value_of(head, "X-Signed").empty();
         info.not_run = !value_of(head, "X-Not-Run").empty();
+        info.notice.is_leaving = !value_of(head, "X-Leaving").empty();
+        const std::string quiet_s = value_of(head, "X-Quiet");
+        if (!quiet_s.empty())
+            info.notice.quiet_time = absl::Seconds(std::stoi(quiet_s));
         return info;
     };
     return hooks;
--- a/tests/forward/test_protocol.hpp
+++ b/tests/forward/test_protocol.hpp
@@ -8,8 +8,9 @@
 namespace oriolefall::tests {
 
 /// An encoding for tests. X-Request identifies the request, X-Signed marks a
-/// signed answer, X-Not-Run an answer to a request that did not run, and
-/// X-After holds the id of the last event that the caller has.
+/// signed answer, X-Not-Run an answer to a request that did not run, X-Leaving
+/// one of a server that leaves and X-Quiet the seconds for which it wants no
+/// calls. X-After holds the id of the last event that the caller has.
 [[nodiscard]] forward::protocol_hooks test_protocol();
 
 /// Formats a request with this name and body.
