dispatch: calls to engines with a limit are kept for the longest prompts

A long prompt went elsewhere when this instance had no call left at the prompt's home, as reading it again costs 0.5 ms a token more anywhere else; its place was taken by whatever came next. Change: an engine with a limit has time to read a prompt again, so that this cost does not count there; and while fewer than three in ten of them take a call, prompts must be the longer the fewer there are (their rank among the last 50). The rank's bookkeeping is a class of its own, prompt_lengths. Test: server_limit/leaves_scarce_calls_to_the_longest_prompts; fails without the reserve.

--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -77,7 +77,7 @@
     retry_budget_of(request.service).record_request(now_);
     const auto* service = table_->find_service(request.service);
     request.is_engine = service != nullptr && service->engine.has_value();
-    pool_of(request.service).record_prompt(total_tokens(event.prompt));
+    pool_of(request.service).lengths().record(total_tokens(event.prompt));
     const auto [inserted, is_new] =
         requests_.emplace(event.id.value(), std::move(request));
     assert(is_new);
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -147,7 +147,9 @@
     query.body_bytes = request.arrival_event.body_bytes;
     query.own_region = settings_.own_region;
     query.now = now_;
-    query.mean_prompt_tokens = pool.mean_prompt_tokens();
+    query.mean_prompt_tokens = pool.lengths().mean();
+    query.length_rank = pool.lengths().rank_of(total_tokens(query.prompt));
+    query.limited_availability = pool.limited_availability(now_);
     query.lane = pool.lanes().lane_of(*request.route);
     const auto views = pool.views(query, peer_load_, hooks_.random());
 
--- a/oriolefall/dispatch/placement.cpp
+++ b/oriolefall/dispatch/placement.cpp
@@ -24,8 +24,13 @@
 {
     const double uncached_tokens =
         expected_uncached_tokens(settings, query.prompt, view);
-    return expected_first_event_ms(settings, view, uncached_tokens) +
-           settings.extra_ms_per_uncached_token * uncached_tokens;
+    const double expected_ms =
+        expected_first_event_ms(settings, view, uncached_tokens);
+    // A limit counts requests, so that an engine with one has time to read a
+    // prompt again.
+    if (view.server.limiter().limit())
+        return expected_ms;
+    return expected_ms + settings.extra_ms_per_uncached_token * uncached_tokens;
 }
 
 /// Calls at the server per slot.
@@ -53,8 +58,13 @@
 {
     if (!view.server.limiter().limit())
         return 0;
+    const double longer_share = 1 - query.length_rank;
+    const double available_share =
+        query.limited_availability / settings.min_limited_availability;
     return settings.ms_per_token_below_mean_at_limited *
-           (query.mean_prompt_tokens - total_tokens(query.prompt));
+               (query.mean_prompt_tokens - total_tokens(query.prompt)) +
+           settings.reserved_for_longer_ms *
+               std::max(longer_share - available_share, 0.0);
 }
 
 double affinity_share(const placement_settings& settings, unsigned rank)
--- a/oriolefall/dispatch/placement.hpp
+++ b/oriolefall/dispatch/placement.hpp
@@ -50,6 +50,11 @@
     /// Cost of a call to an engine with a limit, for each token that the prompt
     /// is shorter than the mean, in ms: its few calls are for long prompts.
     double ms_per_token_below_mean_at_limited = 0.03;
+    /// While fewer than this fraction of the engines with a limit take a call,
+    /// they are reserved for the longest prompts: for all others they cost up
+    /// to this time more, in ms.
+    double min_limited_availability = 0.3;
+    double reserved_for_longer_ms = 60000;
     std::partial_ordering
     operator<=>(const placement_settings&) const = default;
 };
@@ -63,6 +68,10 @@
     std::uint32_t body_bytes = 0;
     /// Mean length of the prompts for the service.
     double mean_prompt_tokens = 0;
+    /// Fraction of these prompts that are not longer.
+    double length_rank = 1;
+    /// Fraction of the engines with a limit that take a call now.
+    double limited_availability = 1;
     /// Region of this instance.
     core::region_name own_region;
     absl::Time now;
--- a/oriolefall/dispatch/service_pool.cpp
+++ b/oriolefall/dispatch/service_pool.cpp
@@ -125,16 +125,26 @@
     return views;
 }
 
-void service_pool::record_prompt(std::uint32_t tokens)
+prompt_lengths& service_pool::lengths()
 {
-    constexpr std::uint32_t max_counted = 50;
-    counted_prompts_ = std::min(counted_prompts_ + 1, max_counted);
-    mean_prompt_tokens_ += (tokens - mean_prompt_tokens_) / counted_prompts_;
+    return lengths_;
 }
 
-double service_pool::mean_prompt_tokens() const
+double service_pool::limited_availability(absl::Time now) const
 {
-    return mean_prompt_tokens_;
+    const auto is_shared = [now](const pooled_server& each) {
+        const rate_limiter& limiter = each.state->limiter();
+        return limiter.limit() &&
+               limiter.next_call_at(now) != absl::InfiniteFuture();
+    };
+    const auto takes_call = [&](const pooled_server& each) {
+        return is_shared(each) && each.state->limiter().may_send(now);
+    };
+    const auto shared = std::ranges::count_if(servers_, is_shared);
+    if (shared == 0)
+        return 1;
+    return static_cast<double>(std::ranges::count_if(servers_, takes_call)) /
+           static_cast<double>(shared);
 }
 
 double service_pool::mean_slowness() const
--- a/oriolefall/dispatch/service_pool.hpp
+++ b/oriolefall/dispatch/service_pool.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/dispatch/engine_lanes.hpp"
 #include "oriolefall/dispatch/peer_load.hpp"
 #include "oriolefall/dispatch/placement.hpp"
+#include "oriolefall/dispatch/prompt_lengths.hpp"
 #include "oriolefall/dispatch/server_state.hpp"
 
 #include <cstdint>
@@ -23,15 +24,16 @@
     void set_servers(std::vector<server_state*> servers);
     engine_lanes& lanes();
 
-    /// Counts a prompt for the mean length.
-    void record_prompt(std::uint32_t tokens);
-    [[nodiscard]] double mean_prompt_tokens() const;
+    prompt_lengths& lengths();
 
     /// Views of all servers for the placement of a request. `random` chooses
     /// among the servers that are equally good for a prompt.
     [[nodiscard]] std::vector<server_view> views(const placement_query& query,
                                                  const peer_load& peers,
                                                  std::uint64_t random) const;
+    /// Fraction of the servers with a limit that take a call from this instance
+    /// now, among those to which it may send at all; 1 if there are none.
+    [[nodiscard]] double limited_availability(absl::Time now) const;
     /// Mean slowness of the servers; 1 if there are none.
     [[nodiscard]] double mean_slowness() const;
 
@@ -45,9 +47,7 @@
     placement_settings placement_;
     engine_lanes lanes_;
     std::vector<pooled_server> servers_;
-    /// Moving average of the last prompts, and how many it counts.
-    double mean_prompt_tokens_ = 0;
-    std::uint32_t counted_prompts_ = 0;
+    prompt_lengths lengths_;
 };
 
 } // namespace oriolefall::dispatch
--- a/tests/dispatch/server_limit_test.cpp
+++ b/tests/dispatch/server_limit_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -326,6 +327,41 @@
     }
 }
 
+// The few calls that engines with limits take went to whatever prompt came
+// first, while the other engines were overloaded by long ones.
+Test(server_limit, leaves_scarce_calls_to_the_longest_prompts)
+{
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    std::vector<server_entry> engines;
+    for (int i = 0; i < 9; ++i)
+        engines.push_back(make_server_entry("e" + std::to_string(i), "engine"));
+    simulation.set_servers(engines);
+    std::uint64_t next_part = 1;
+    const auto send = [&](std::uint32_t tokens) {
+        simulation.receive_request("stream",
+                                   {{++next_part, 100}, {++next_part, tokens}});
+        return *simulation.last<send_call>();
+    };
+    constexpr std::uint32_t medium_tokens = 6000;
+    constexpr std::uint32_t long_tokens = 9000;
+    std::set<core::backend_server_id> limited;
+    for (int i = 0; limited.size() < 8; ++i) {
+        const send_call call = send(i % 2 == 0 ? long_tokens : 300);
+        limited.insert(call.server);
+        simulation.step(
+            call_answer_started{call.id, call.call, 200, limited_to(0.5)});
+        simulation.step(call_completed{call.id, call.call, 8, {}});
+    }
+    simulation.advance(absl::Seconds(20));
+    for (int i = 0; i < 7; ++i)
+        cr_assert(limited.contains(send(long_tokens).server));
+    // One engine with a limit takes a call; the one without is busy.
+    for (int i = 0; i < 5; ++i)
+        cr_assert_not(limited.contains(send(medium_tokens).server));
+    cr_assert(limited.contains(send(long_tokens).server));
+}
+
 Test(server_limit, survives_that_the_store_drops_the_server_until_it_is_lifted)
 {
     dispatcher_simulation simulation;
