soak: servers that say that they leave or want quiet, and a check of both words

Nothing outside the state machines played these words. Servers of the soak now say in all answers that they leave, while the store still lists them as ready for up to 3.3 s, and others turn all requests away with Retry-After 2 for a while. The ledger notes what reaches a server, by the instance that sent it, and tells of requests that were sent longer than the bound after the instance had the word, and of more than two that reach a server in its quiet time. The words come from a generator of their own, so that earlier seeds keep their steps. Tests of the checker: soak_ledger/a_call_to_a_server_that_said_that_it_leaves_ is_told and /calls_to_a_server_that_wants_quiet_are_told.

--- a/tests/adapter/soak/ledger.cpp
+++ b/tests/adapter/soak/ledger.cpp
@@ -14,6 +14,10 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_misdirected = 421;
+/// Time after which a server that wants quiet is to have it, and the calls that
+/// it may get all the same.
+constexpr std::chrono::milliseconds quiet_reaction{500};
+constexpr std::ptrdiff_t max_calls_in_quiet = 2;
 
 bool promises_not_run(unsigned status)
 {
@@ -56,6 +60,21 @@
     leaving_.emplace(server, at);
 }
 
+void ledger::note_arrival(arrival seen)
+{
+    arrivals_.push_back(std::move(seen));
+}
+
+void ledger::note_said_leaving(const arrival& answered)
+{
+    said_leaving_.push_back(answered);
+}
+
+void ledger::note_quiet(arrival answered, time_point until)
+{
+    quiet_answers_.push_back({std::move(answered), until});
+}
+
 void ledger::note_moved(const std::string& path, const std::string& service,
                         time_point at)
 {
@@ -183,12 +202,53 @@
         if (const auto fault = check(seen); !fault.empty())
             lines.push_back(kinds[static_cast<std::size_t>(seen.kind)] + " " +
                             seen.id + " by " + seen.instance + ": " + fault);
+    std::ranges::move(check_words(), std::back_inserter(lines));
     for (const auto& [id, ran] : runs_)
         if (std::ranges::find(attempts_, id, &attempt::id) == attempts_.end())
             lines.push_back("unasked " + id + " at " + ran.server);
     return lines;
 }
 
+std::vector<std::string> ledger::check_words() const
+{
+    std::map<std::string, const attempt*> attempts;
+    for (const attempt& each : attempts_)
+        attempts.emplace(each.id, &each);
+    const auto attempt_of = [&attempts](const arrival& each) {
+        const auto found = attempts.find(each.attempt);
+        return found == attempts.end() ? nullptr : found->second;
+    };
+    const auto is_later_call = [&](const arrival& later, const arrival& said) {
+        const attempt* here = attempt_of(later);
+        const attempt* there = attempt_of(said);
+        return later.server == said.server && here != nullptr &&
+               there != nullptr && here->instance == there->instance &&
+               !in_trouble(here->instance, said.at, later.at);
+    };
+    std::vector<std::string> lines;
+    for (const arrival& said : said_leaving_)
+        for (const arrival& later : arrivals_)
+            if (is_later_call(later, said) &&
+                attempt_of(later)->sent > said.at + bound_.in_force_within)
+                lines.push_back(later.attempt + " sent to " + later.server +
+                                ", which had said that it leaves");
+    for (const quiet_answer& said : quiet_answers_) {
+        const auto count =
+            std::ranges::count_if(arrivals_, [&](const arrival& later) {
+                return later.at > said.answered.at + quiet_reaction &&
+                       later.at < said.until &&
+                       is_later_call(later, said.answered);
+            });
+        if (count > max_calls_in_quiet)
+            lines.push_back(std::to_string(count) + " requests reached " +
+                            said.answered.server + ", which wanted quiet");
+    }
+    std::ranges::sort(lines);
+    const auto repeated = std::ranges::unique(lines);
+    lines.erase(repeated.begin(), repeated.end());
+    return lines;
+}
+
 std::size_t ledger::answered() const
 {
     return static_cast<std::size_t>(
--- a/tests/adapter/soak/ledger.hpp
+++ b/tests/adapter/soak/ledger.hpp
@@ -35,6 +35,16 @@
     std::partial_ordering operator<=>(const run&) const = default;
 };
 
+/// A request that reached a backend server, whether it ran or not, or an answer
+/// to it in which the server says something of itself.
+struct arrival
+{
+    std::string attempt;
+    std::string server;
+    time_point at;
+    auto operator<=>(const arrival&) const = default;
+};
+
 /// How a request ended, as its caller saw it.
 enum class ending : unsigned char
 {
@@ -103,6 +113,11 @@
     void add(attempt seen);
     /// The server may get nothing more from `at` on: its leaving was accepted.
     void note_leaving(const std::string& server, time_point at);
+    void note_arrival(arrival seen);
+    /// The server's answer says that it leaves.
+    void note_said_leaving(const arrival& answered);
+    /// The server's answer says that it wants nothing until then.
+    void note_quiet(arrival answered, time_point until);
     /// From `at` on, requests of `path` go to `service` and no other.
     void note_moved(const std::string& path, const std::string& service,
                     time_point at);
@@ -129,6 +144,9 @@
     /// When the service of `each` was given up for its path; the latest time
     /// before the run.
     [[nodiscard]] std::optional<time_point> given_up_at(const run& each) const;
+    /// Requests that reached servers after these had told the instance that
+    /// they leave or want quiet.
+    [[nodiscard]] std::vector<std::string> check_words() const;
     [[nodiscard]] bool in_trouble(const std::string& instance, time_point from,
                                   time_point to) const;
 
@@ -137,6 +155,14 @@
     std::multimap<std::string, run> runs_;
     std::vector<attempt> attempts_;
     std::map<std::string, time_point> leaving_;
+    struct quiet_answer
+    {
+        arrival answered;
+        time_point until;
+    };
+    std::vector<arrival> arrivals_;
+    std::vector<arrival> said_leaving_;
+    std::vector<quiet_answer> quiet_answers_;
     struct move
     {
         std::string path;
--- a/tests/adapter/soak/schedule.cpp
+++ b/tests/adapter/soak/schedule.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 constexpr std::size_t kinds = 32;
+constexpr std::size_t word_kinds = 2;
 constexpr std::size_t planned_kinds = 4;
-const std::array<const char*, kinds> names{
+const std::array<const char*, kinds + word_kinds> names{
     "stop_instance",        "hang_up",
     "move_route",           "drain_server",
     "kill_instance",        "kill_all",
@@ -27,7 +28,8 @@
     "server_link_delayed",  "server_link_reset",
     "server_link_silenced", "server_link_cut_back",
     "caller_link_delayed",  "caller_link_reset",
-    "caller_link_silenced", "caller_link_cut_forth"};
+    "caller_link_silenced", "caller_link_cut_forth",
+    "server_leaves",        "server_wants_quiet"};
 
 constexpr unsigned targets = 60;
 constexpr std::uint64_t least_steps = 3;
@@ -35,6 +37,24 @@
 constexpr std::uint64_t shortest_ms = 300;
 constexpr std::uint64_t time_spread_ms = 3000;
 constexpr std::uint64_t planned_each = 3;
+constexpr std::uint64_t most_words = 3;
+
+/// `count` steps of kinds from `first` on.
+std::vector<step> make_steps(std::mt19937_64& random, std::size_t count,
+                             std::size_t first, std::size_t choices,
+                             std::chrono::milliseconds length)
+{
+    std::vector<step> steps(count);
+    for (step& each : steps) {
+        each.at = std::chrono::milliseconds(
+            random() % static_cast<std::uint64_t>(length.count()));
+        each.what = static_cast<disruption>(first + random() % choices);
+        each.target = static_cast<unsigned>(random() % targets);
+        each.lasts =
+            std::chrono::milliseconds(shortest_ms + random() % time_spread_ms);
+    }
+    return steps;
+}
 
 } // namespace
 
@@ -45,7 +65,8 @@
 
 bool is_planned(disruption what)
 {
-    return static_cast<std::size_t>(what) < planned_kinds;
+    return static_cast<std::size_t>(what) < planned_kinds ||
+           what == disruption::server_leaves;
 }
 
 std::string to_text(disruption what)
@@ -58,15 +79,14 @@
 {
     std::mt19937_64 random(seed);
     const std::size_t choices = is_planned_only(seed) ? planned_kinds : kinds;
-    std::vector<step> steps(least_steps + random() % step_spread);
-    for (step& each : steps) {
-        each.at = std::chrono::milliseconds(
-            random() % static_cast<std::uint64_t>(length.count()));
-        each.what = static_cast<disruption>(random() % choices);
-        each.target = static_cast<unsigned>(random() % targets);
-        each.lasts =
-            std::chrono::milliseconds(shortest_ms + random() % time_spread_ms);
-    }
+    const std::size_t count = least_steps + random() % step_spread;
+    std::vector<step> steps = make_steps(random, count, 0, choices, length);
+    // A generator of their own leaves the steps above as they were.
+    std::mt19937_64 words_random(~seed);
+    const std::size_t word_choices = is_planned_only(seed) ? 1 : word_kinds;
+    const auto words = make_steps(words_random, 1 + words_random() % most_words,
+                                  kinds, word_choices, length);
+    steps.insert(steps.end(), words.begin(), words.end());
     std::ranges::sort(steps);
     return steps;
 }
--- a/tests/adapter/soak/schedule.hpp
+++ b/tests/adapter/soak/schedule.hpp
@@ -49,7 +49,10 @@
     caller_link_delayed,
     caller_link_reset,
     caller_link_silenced,
-    caller_link_cut_forth
+    caller_link_cut_forth,
+    // What backend servers say of themselves.
+    server_leaves,
+    server_wants_quiet
 };
 
 /// One disruption of a soak.
@@ -66,7 +69,8 @@
 };
 
 /// The same for each seed. Every third seed has planned work only; the others
-/// mix everything, in series and overlapping.
+/// mix everything, in series and overlapping. What servers say of themselves
+/// comes with all seeds.
 std::vector<step> make_schedule(std::uint64_t seed,
                                 std::chrono::milliseconds length);
 bool is_planned_only(std::uint64_t seed);
--- a/tests/adapter/soak/soak.cpp
+++ b/tests/adapter/soak/soak.cpp
@@ -250,8 +250,9 @@
         co_await world_.drain_server(wanted.target);
     } else if (wanted.what <= disruption::store_forgets) {
         co_await disturb_store(wanted);
-    } else if (wanted.what >= disruption::server_crashes &&
-               wanted.what <= disruption::server_link_cut_back) {
+    } else if (wanted.what >= disruption::server_leaves ||
+               (wanted.what >= disruption::server_crashes &&
+                wanted.what <= disruption::server_link_cut_back)) {
         co_await disturb_server(wanted);
     } else {
         member& each = *members_[wanted.target % members_.size()];
@@ -313,6 +314,11 @@
 {
     if (wanted.what == disruption::server_crashes)
         co_await world_.crash_server(wanted.target, wanted.lasts);
+    else if (wanted.what == disruption::server_leaves)
+        co_await world_.leave_server(wanted.target, wanted.lasts);
+    else if (wanted.what == disruption::server_wants_quiet)
+        co_await world_.spoil_server(wanted.target, server_fault::wants_quiet,
+                                     wanted.lasts);
     else if (wanted.what <= disruption::server_garbles)
         co_await world_.spoil_server(
             wanted.target, server_fault_of(wanted.what), wanted.lasts);
--- a/tests/adapter/soak/work_server.cpp
+++ b/tests/adapter/soak/work_server.cpp
@@ -53,6 +53,11 @@
     fault_ = fault;
 }
 
+void work_server::set_leaving()
+{
+    is_leaving_ = true;
+}
+
 void work_server::crash()
 {
     acceptor_.reset();
@@ -104,7 +109,9 @@
     if (!wanted.empty() && wanted != settings_.id)
         co_return co_await refuse(socket, id,
                                   http::status::misdirected_request);
-    if (running_ >= settings_.slots * queue_slots)
+    seen_.note_arrival({id, settings_.id, clock::now()});
+    if (fault_ == server_fault::wants_quiet ||
+        running_ >= settings_.slots * queue_slots)
         co_return co_await refuse(socket, id,
                                   http::status::service_unavailable);
     run& begun = seen_.begin_run(
@@ -132,18 +139,26 @@
 {
     std::string text =
         head(id, std::to_string(static_cast<unsigned>(status)) + " Not run");
+    if (fault_ == server_fault::wants_quiet &&
+        status == http::status::service_unavailable) {
+        seen_.note_quiet({id, settings_.id, clock::now()},
+                         clock::now() + quiet_time);
+        text += "Retry-After: " + std::to_string(quiet_time.count()) + "\r\n";
+    }
     text += "Oriolefall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     error_code error;
     co_await asio::async_write(*socket, asio::buffer(text), into(error));
     co_return !error;
 }
 
-std::string work_server::head(const std::string& id,
-                              const std::string& status) const
+std::string work_server::head(const std::string& id, const std::string& status)
 {
+    if (is_leaving_)
+        seen_.note_said_leaving({id, settings_.id, clock::now()});
     return "HTTP/1.1 " + status + "\r\nOriolefall-Attempt-Id: " + id +
            "\r\nOriolefall-Server-Load: " + std::to_string(running_) + ",0," +
-           std::to_string(settings_.slots) + "\r\n";
+           std::to_string(settings_.slots) + "\r\n" +
+           (is_leaving_ ? "Server-Leaving: 1\r\n" : "");
 }
 
 task<bool> work_server::answer(const socket_ptr& socket, const std::string& id,
--- a/tests/adapter/soak/work_server.hpp
+++ b/tests/adapter/soak/work_server.hpp
@@ -23,9 +23,14 @@
     /// Runs a request and closes the connection.
     loses_answers,
     /// Answers with bytes that are no answer, or with more than one.
-    garbles
+    garbles,
+    /// Turns requests away and wants none for `quiet_time`.
+    wants_quiet
 };
 
+/// Retry-After of a server that wants quiet.
+inline constexpr std::chrono::seconds quiet_time{2};
+
 struct work_server_settings
 {
     std::string id;
@@ -50,6 +55,8 @@
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] const work_server_settings& settings() const;
     void set_fault(server_fault fault);
+    /// Says in all answers from now on that it leaves.
+    void set_leaving();
     /// Ends at once: all connections are reset, nothing listens.
     void crash();
 
@@ -67,7 +74,7 @@
                       run& begun);
     task<bool> stream(const socket_ptr& socket, const request& asked);
     [[nodiscard]] std::string head(const std::string& id,
-                                   const std::string& status) const;
+                                   const std::string& status);
 
     asio::io_context& context_;
     work_server_settings settings_;
@@ -77,6 +84,7 @@
     std::set<socket_ptr> sockets_;
     unsigned running_ = 0;
     server_fault fault_ = server_fault::none;
+    bool is_leaving_ = false;
 };
 
 } // namespace oriolefall::soak
--- a/tests/adapter/soak/world.cpp
+++ b/tests/adapter/soak/world.cpp
@@ -151,6 +151,15 @@
     at.is_changing = false;
 }
 
+task<void> world::leave_server(unsigned target, milliseconds unlisted)
+{
+    const auto server = places_[target % places_.size()].server;
+    server->set_leaving();
+    co_await pause(unlisted);
+    if (places_[target % places_.size()].server == server)
+        co_await drain_server(target);
+}
+
 task<void> world::crash_server(unsigned target, milliseconds away)
 {
     place& at = places_[target % places_.size()];
--- a/tests/adapter/soak/world.hpp
+++ b/tests/adapter/soak/world.hpp
@@ -33,6 +33,9 @@
     /// Tells that the server leaves, ends it later, and starts another one.
     task<void> drain_server(unsigned target);
     /// Ends a server and starts another one at its address.
+    /// It says in its answers that it leaves, and does not in the store until
+    /// it drains after this time.
+    task<void> leave_server(unsigned target, milliseconds unlisted);
     task<void> crash_server(unsigned target, milliseconds away);
     task<void> spoil_server(unsigned target, server_fault fault,
                             milliseconds lasts);
--- a/tests/adapter/soak_ledger_test.cpp
+++ b/tests/adapter/soak_ledger_test.cpp
@@ -137,3 +137,34 @@
     for (const step& each : make_schedule(9, length))
         cr_assert(is_planned(each.what));
 }
+
+// A server that had said that it leaves got a request that was sent later.
+Test(soak_ledger, a_call_to_a_server_that_said_that_it_leaves_is_told)
+{
+    ledger book(bounds(false));
+    attempt first = seen(request_kind::safe, ending::answered, 200);
+    first.id = "a0";
+    first.sent = start - milliseconds(3000);
+    book.note_said_leaving({"a0", "s1", first.sent});
+    book.note_arrival({"a1", "s1", start});
+    book.begin_run("a1", ran(start));
+    book.add(seen(request_kind::unsafe, ending::answered, 200));
+    cr_assert_eq(broken(book), 0);
+    first.how = ending::cut;
+    book.add(first);
+    cr_assert_eq(broken(book), 1);
+}
+
+// More than two requests reached a server that had asked for quiet.
+Test(soak_ledger, calls_to_a_server_that_wants_quiet_are_told)
+{
+    ledger book(bounds(false));
+    attempt made = seen(request_kind::safe, ending::cut, 0);
+    book.add(made);
+    book.note_quiet({"a1", "s1", start}, start + milliseconds(2000));
+    for (const int after_ms : {100, 700, 800, 2100})
+        book.note_arrival({"a1", "s1", start + milliseconds(after_ms)});
+    cr_assert_eq(broken(book), 0);
+    book.note_arrival({"a1", "s1", start + milliseconds(900)});
+    cr_assert_eq(broken(book), 1);
+}
