soak: words of servers last longer than the bound on obeying them

A server that said that it leaves was listed as draining within the bound, so that a program which ignores the word was hardly ever told.

--- a/tests/adapter/soak/soak.cpp
+++ b/tests/adapter/soak/soak.cpp
@@ -315,10 +315,12 @@
     if (wanted.what == disruption::server_crashes)
         co_await world_.crash_server(wanted.target, wanted.lasts);
     else if (wanted.what == disruption::server_leaves)
-        co_await world_.leave_server(wanted.target, wanted.lasts);
+        // The store says so long after the answers must have been obeyed.
+        co_await world_.leave_server(wanted.target,
+                                     in_force_within + wanted.lasts);
     else if (wanted.what == disruption::server_wants_quiet)
         co_await world_.spoil_server(wanted.target, server_fault::wants_quiet,
-                                     wanted.lasts);
+                                     quiet_time + wanted.lasts);
     else if (wanted.what <= disruption::server_garbles)
         co_await world_.spoil_server(
             wanted.target, server_fault_of(wanted.what), wanted.lasts);
