--- a/tests/dispatch/server_words_test.cpp
+++ b/tests/dispatch/server_words_test.cpp
@@ -2,7 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace oriolefall;
 using namespace oriolefall::dispatch;
@@ -156,3 +158,31 @@
     cr_assert_neq(simulation.last<send_call>()->server.value(),
                   first.server.value());
 }
+
+Test(server_words, of_a_third_of_thousands_of_servers_are_obeyed)
+{
+    constexpr int server_count = 2400;
+    dispatcher_simulation simulation;
+    simulation.set_routes(make_route_settings(1));
+    std::vector<server_entry> servers;
+    std::set<core::backend_server_id> leavers;
+    for (int i = 0; i < server_count; ++i) {
+        servers.push_back(make_server_entry("d" + std::to_string(i), "desk"));
+        if (i % 3 == 0)
+            leavers.insert(servers.back().id);
+    }
+    simulation.set_servers(servers);
+    std::set<core::backend_server_id> heard;
+    for (int i = 0; i < server_count; ++i) {
+        simulation.receive_request("unsafe");
+        const send_call call = *simulation.last<send_call>();
+        cr_assert_not(heard.contains(call.server));
+        const bool is_leaver = leavers.contains(call.server);
+        if (is_leaver)
+            heard.insert(call.server);
+        simulation.step(call_answer_started{
+            call.id, call.call, 200, is_leaver ? leaving() : server_notice{}});
+        simulation.actions.clear();
+    }
+    cr_assert_eq(heard.size(), leavers.size());
+}
