Names: call_restrictions, restriction, notice_record, notice_kind

What a server's answer says is a notice, and what follows from it restricts calls; the code and its log called both words. Log event server_notice with kind, counter oriolefall_server_notices_total by kind: neither had landed under another name. No logic changed.

--- a/oriolefall/dispatch/action.hpp
+++ b/oriolefall/dispatch/action.hpp
@@ -118,7 +118,7 @@
     std::variant<send_call, cancel_call, forward_error_answer, refuse,
                  send_load_report, send_crash_report, send_notice_report,
                  decision_record, ejection_change, quarantine_change,
-                 rate_limit_change, server_said>;
+                 rate_limit_change, notice_record>;
 
 } // namespace oriolefall::dispatch
 
--- a/oriolefall/dispatch/server_words.hpp
+++ b/oriolefall/dispatch/call_restrictions.hpp
@@ -1,5 +1,5 @@
-#ifndef ORIOLEFALL_DISPATCH_SERVER_WORDS_HPP
-#define ORIOLEFALL_DISPATCH_SERVER_WORDS_HPP
+#ifndef ORIOLEFALL_DISPATCH_CALL_RESTRICTIONS_HPP
+#define ORIOLEFALL_DISPATCH_CALL_RESTRICTIONS_HPP
 
 #include "oriolefall/dispatch/crash_report.hpp"
 #include "oriolefall/dispatch/rate_limiter.hpp"
@@ -15,10 +15,10 @@
 /// What incarnations of backend servers have said that keeps calls from them.
 /// It holds whatever the store says of the server before or afterwards, and
 /// ends with the incarnation. Not thread-safe.
-class server_words
+class call_restrictions
 {
 public:
-    struct standing
+    struct restriction
     {
         bool is_leaving = false;
         absl::Time quiet_until = absl::InfinitePast();
@@ -29,7 +29,7 @@
     };
 
     /// `capacity` is the maximum number of incarnations that are remembered.
-    explicit server_words(std::size_t capacity);
+    explicit call_restrictions(std::size_t capacity);
 
     /// Both return false when that was known already.
     bool set_leaving(const server_incarnation& server);
@@ -39,13 +39,13 @@
                       const rate_limiter& limiter);
     /// Takes it out; without limit if there is none.
     [[nodiscard]] rate_limiter take_limiter(const server_incarnation& server);
-    [[nodiscard]] standing of(const server_incarnation& server) const;
+    [[nodiscard]] restriction of(const server_incarnation& server) const;
 
 private:
-    standing& remember(const server_incarnation& server);
+    restriction& remember(const server_incarnation& server);
 
     std::size_t capacity_;
-    std::map<server_incarnation, standing> standings_;
+    std::map<server_incarnation, restriction> restrictions_;
     std::map<server_incarnation, rate_limiter> limiters_;
     /// Oldest first.
     std::deque<server_incarnation> order_;
--- a/oriolefall/dispatch/decision_record.cpp
+++ b/oriolefall/dispatch/decision_record.cpp
@@ -22,7 +22,7 @@
     return value == decision::passed_failure || value == decision::refused;
 }
 
-std::string_view to_string(server_word value)
+std::string_view to_string(notice_kind value)
 {
     static constexpr std::array<std::string_view, 4> names{
         "leaving", "quiet", "invalid_limit", "invalid_quiet"};
--- a/oriolefall/dispatch/decision_record.hpp
+++ b/oriolefall/dispatch/decision_record.hpp
@@ -88,7 +88,7 @@
 };
 
 /// What a server said of itself in an answer.
-enum class server_word : std::uint8_t
+enum class notice_kind : std::uint8_t
 {
     leaving,       ///< it gets no more calls
     quiet,         ///< it gets no calls for a time
@@ -96,16 +96,17 @@
     invalid_quiet  ///< a time that can't be read; ignored
 };
 
-[[nodiscard]] std::string_view to_string(server_word value);
+[[nodiscard]] std::string_view to_string(notice_kind value);
 
-/// Log record of a word of a server, written once for each incarnation or time.
-struct server_said
+/// Log record of a notice of a server, written once for each incarnation or
+/// time.
+struct notice_record
 {
     core::backend_server_id server;
-    server_word word = server_word::leaving;
+    notice_kind kind = notice_kind::leaving;
     /// Time without calls.
     absl::Duration quiet_time = absl::ZeroDuration();
-    std::strong_ordering operator<=>(const server_said&) const = default;
+    std::strong_ordering operator<=>(const notice_record&) const = default;
 };
 
 /// Log record of the limit that a server names for the requests per second from
--- a/oriolefall/dispatch/dispatch_settings.hpp
+++ b/oriolefall/dispatch/dispatch_settings.hpp
@@ -70,8 +70,8 @@
     /// Share by which the time that a server wants no calls is made longer at
     /// random, so that instances don't return to it together.
     double max_quiet_time_spread = 0.1;
-    /// Maximum number of incarnations of servers whose words are remembered.
-    std::size_t max_server_words = 4096;
+    /// Maximum number of incarnations of servers whose notices are remembered.
+    std::size_t max_restricted_servers = 4096;
     /// Maximum number of concurrently open requests.
     std::size_t max_open_requests = 4000;
     std::partial_ordering operator<=>(const dispatch_settings&) const = default;
--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -17,7 +17,7 @@
     : settings_(std::move(settings)), hooks_(std::move(hooks)),
       quarantine_(settings_.quarantine, hooks_.random),
       instance_count_(settings_.min_instances),
-      words_(settings_.max_server_words)
+      restrictions_(settings_.max_restricted_servers)
 {
     assert(hooks_.cost && hooks_.random);
 }
--- a/oriolefall/dispatch/dispatcher.hpp
+++ b/oriolefall/dispatch/dispatcher.hpp
@@ -171,7 +171,7 @@
     void apply_notice(const open_request& request, const server_notice& notice);
     /// A server that the store lists again has the limit that it had.
     void restore_limiter(server_state& added);
-    void apply_words(server_state& server, const server_notice& notice);
+    void apply_restrictions(server_state& server, const server_notice& notice);
     void update_rate_limit(server_state& server, absl::Time heard_at,
                            std::optional<double> limit);
     /// Sets the part of its limit that this instance may use.
@@ -223,9 +223,9 @@
     /// Number of instances that share retry budgets and connection limits.
     std::uint32_t instance_count_ = 1;
     std::vector<core::instance_id> members_;
-    server_words words_;
+    call_restrictions restrictions_;
     /// Incarnations that have said something that can't be read.
-    std::set<server_incarnation> invalid_words_;
+    std::set<server_incarnation> servers_with_invalid_notices_;
     std::set<core::backend_server_id> limited_servers_;
     /// Servers whose limit has changed since the last report.
     std::set<core::backend_server_id> changed_limits_;
--- a/oriolefall/dispatch/dispatcher_notices.cpp
+++ b/oriolefall/dispatch/dispatcher_notices.cpp
@@ -22,7 +22,7 @@
         return;
     if (notice.load)
         server->update_load(now_, *notice.load);
-    apply_words(*server, notice);
+    apply_restrictions(*server, notice);
     // An answer to a call that was sent before the limit was heard may be older
     // than the limit.
     const bool says_nothing =
@@ -33,31 +33,34 @@
         update_rate_limit(*server, now_, notice.rate_limit);
 }
 
-void dispatcher::apply_words(server_state& server, const server_notice& notice)
+void dispatcher::apply_restrictions(server_state& server,
+                                    const server_notice& notice)
 {
     constexpr std::uint64_t steps = 1000;
     const server_incarnation incarnation{server.entry().id,
                                          server.entry().started_at_ms};
-    const auto log = [&](server_word word, absl::Duration time) {
-        actions_->push_back(server_said{incarnation.server, word, time});
+    const auto log = [&](notice_kind kind, absl::Duration time) {
+        actions_->push_back(notice_record{incarnation.server, kind, time});
     };
-    if (notice.is_leaving && words_.set_leaving(incarnation))
-        log(server_word::leaving, absl::ZeroDuration());
+    if (notice.is_leaving && restrictions_.set_leaving(incarnation))
+        log(notice_kind::leaving, absl::ZeroDuration());
     if (notice.quiet_time && *notice.quiet_time > absl::ZeroDuration()) {
         const double spread = settings_.max_quiet_time_spread *
                               static_cast<double>(hooks_.random() % steps) /
                               steps;
         const absl::Duration time = *notice.quiet_time * (1 + spread);
-        if (words_.set_quiet(incarnation, now_ + time))
-            log(server_word::quiet, time);
+        if (restrictions_.set_quiet(incarnation, now_ + time))
+            log(notice_kind::quiet, time);
     }
-    server.words = words_.of(incarnation);
+    server.restriction = restrictions_.of(incarnation);
     const bool is_invalid =
         notice.is_rate_limit_invalid || notice.is_quiet_time_invalid;
-    if (is_invalid && invalid_words_.size() < settings_.max_server_words &&
-        invalid_words_.insert(incarnation).second)
-        log(notice.is_rate_limit_invalid ? server_word::invalid_limit
-                                         : server_word::invalid_quiet,
+    if (is_invalid &&
+        servers_with_invalid_notices_.size() <
+            settings_.max_restricted_servers &&
+        servers_with_invalid_notices_.insert(incarnation).second)
+        log(notice.is_rate_limit_invalid ? notice_kind::invalid_limit
+                                         : notice_kind::invalid_quiet,
             absl::ZeroDuration());
 }
 
--- a/oriolefall/dispatch/dispatcher_placement.cpp
+++ b/oriolefall/dispatch/dispatcher_placement.cpp
@@ -102,7 +102,8 @@
 bool dispatcher::is_eligible(const open_request& request,
                              const server_state& server) const
 {
-    return is_usable(request, server) && now_ >= server.words.quiet_until &&
+    return is_usable(request, server) &&
+           now_ >= server.restriction.quiet_until &&
            server.limiter().may_send(now_);
 }
 
@@ -113,7 +114,7 @@
         if (server->entry().service == request.service &&
             is_usable(request, *server))
             next =
-                std::min(next, std::max(server->words.quiet_until,
+                std::min(next, std::max(server->restriction.quiet_until,
                                         server->limiter().next_call_at(now_)));
     return next;
 }
@@ -122,7 +123,7 @@
                            const server_state& server)
 {
     const auto& entry = server.entry();
-    return !entry.is_draining && !server.words.is_leaving &&
+    return !entry.is_draining && !server.restriction.is_leaving &&
            !contains(request.tried, entry.id) &&
            !contains(request.unreachable, entry.id);
 }
--- a/oriolefall/dispatch/dispatcher_updates.cpp
+++ b/oriolefall/dispatch/dispatcher_updates.cpp
@@ -43,14 +43,15 @@
     }
     for (const auto& [id, server] : servers_)
         if (server && server->limiter().limit())
-            words_.keep_limiter({id, server->entry().started_at_ms},
-                                server->limiter());
+            restrictions_.keep_limiter({id, server->entry().started_at_ms},
+                                       server->limiter());
     servers_ = std::move(next);
     std::map<routing::service_name, std::vector<server_state*>> by_service;
     for (auto& [name, pool] : pools_)
         by_service[name] = {};
     for (auto& [id, server] : servers_) {
-        server->words = words_.of({id, server->entry().started_at_ms});
+        server->restriction =
+            restrictions_.of({id, server->entry().started_at_ms});
         server->is_stale =
             std::ranges::find(event.stale, id) != event.stale.end();
         by_service[server->entry().service].push_back(server.get());
@@ -64,7 +65,8 @@
 void dispatcher::restore_limiter(server_state& added)
 {
     const auto& entry = added.entry();
-    added.limiter() = words_.take_limiter({entry.id, entry.started_at_ms});
+    added.limiter() =
+        restrictions_.take_limiter({entry.id, entry.started_at_ms});
     if (added.limiter().limit())
         limited_servers_.insert(entry.id);
 }
--- a/oriolefall/dispatch/server_state.cpp
+++ b/oriolefall/dispatch/server_state.cpp
@@ -36,7 +36,7 @@
     cache_.clear();
     load_.reset();
     limiter_ = {};
-    words = {};
+    restriction = {};
     consecutive_failures_ = 0;
     failure_ratio_ = 0;
     recorded_calls_ = 0;
--- a/oriolefall/dispatch/server_state.hpp
+++ b/oriolefall/dispatch/server_state.hpp
@@ -1,11 +1,11 @@
 #ifndef ORIOLEFALL_DISPATCH_SERVER_STATE_HPP
 #define ORIOLEFALL_DISPATCH_SERVER_STATE_HPP
 
+#include "oriolefall/dispatch/call_restrictions.hpp"
 #include "oriolefall/dispatch/prompt_cache.hpp"
 #include "oriolefall/dispatch/rate_limiter.hpp"
 #include "oriolefall/dispatch/server_entry.hpp"
 #include "oriolefall/dispatch/server_notice.hpp"
-#include "oriolefall/dispatch/server_words.hpp"
 
 #include <absl/time/time.h>
 
@@ -86,8 +86,8 @@
     [[nodiscard]] const prompt_cache& cache() const;
     rate_limiter& limiter();
     [[nodiscard]] const rate_limiter& limiter() const;
-    /// What the server has said in its answers.
-    server_words::standing words;
+    /// By what the server has said in its answers.
+    call_restrictions::restriction restriction;
     /// The server's store entry lapsed while the store could not be reached.
     bool is_stale = false;
 
--- a/oriolefall/dispatch/service_pool.cpp
+++ b/oriolefall/dispatch/service_pool.cpp
@@ -29,7 +29,7 @@
     std::uint64_t best_weight = 0;
     for (server_view& view : views) {
         const auto& entry = view.server.entry();
-        if (entry.is_draining || view.server.words.is_leaving ||
+        if (entry.is_draining || view.server.restriction.is_leaving ||
             view.affinity_rank != 0 || !is_allowed(view))
             continue;
         const auto weight =
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -142,19 +142,20 @@
 {
     const dispatch::server_incarnation server{
         current_call_->server, current_call_->server_started_at_ms};
-    return dependencies_.words.of(server).takes_calls(core::monotonic_now());
+    return dependencies_.restrictions.of(server).takes_calls(
+        core::monotonic_now());
 }
 
-void exchange::record_words()
+void exchange::record_restrictions()
 {
     const dispatch::server_notice& notice = head_info_.notice;
     const dispatch::server_incarnation server{
         current_call_->server, current_call_->server_started_at_ms};
     if (notice.is_leaving)
-        dependencies_.words.set_leaving(server);
+        dependencies_.restrictions.set_leaving(server);
     if (notice.quiet_time)
-        dependencies_.words.set_quiet(server, core::monotonic_now() +
-                                                  *notice.quiet_time);
+        dependencies_.restrictions.set_quiet(server, core::monotonic_now() +
+                                                         *notice.quiet_time);
 }
 
 void exchange::report_not_run(dispatch::not_run_cause cause)
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -1,7 +1,7 @@
 #ifndef ORIOLEFALL_FORWARD_EXCHANGE_HPP
 #define ORIOLEFALL_FORWARD_EXCHANGE_HPP
 
-#include "oriolefall/dispatch/server_words.hpp"
+#include "oriolefall/dispatch/call_restrictions.hpp"
 #include "oriolefall/forward/caller_connection.hpp"
 #include "oriolefall/forward/event_splitter.hpp"
 #include "oriolefall/forward/http_text.hpp"
@@ -32,7 +32,7 @@
         const protocol_hooks& protocol;
         server_connection_pool& servers;
         /// What servers have said, known here before any decision is.
-        dispatch::server_words& words;
+        dispatch::call_restrictions& restrictions;
         event_sink report;
         /// The exchange has finished; called once, as the last hook.
         std::function<void(core::request_id)> on_finished;
@@ -70,7 +70,7 @@
     /// False when the server has said that it takes no calls, perhaps after it
     /// was chosen.
     [[nodiscard]] bool may_send() const;
-    void record_words();
+    void record_restrictions();
     bool on_head(const answer_head& head);
     void on_body(std::string_view bytes);
     void on_done(answer_end end);
--- a/oriolefall/forward/exchange_answer.cpp
+++ b/oriolefall/forward/exchange_answer.cpp
@@ -33,7 +33,7 @@
         return false;
     answer_head_ = head;
     if (!head_info_.wrong_server)
-        record_words();
+        record_restrictions();
     const auto keep_alive =
         parse_keep_alive_timeout(net::field_value(head, "Keep-Alive"));
     if (keep_alive && server_)
--- a/oriolefall/forward/forward_settings.hpp
+++ b/oriolefall/forward/forward_settings.hpp
@@ -31,8 +31,8 @@
     std::size_t max_event_bytes = std::size_t{1024} * 1024;
     /// Maximum size of further requests that are read while one is open.
     std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
-    /// Maximum number of incarnations of servers whose words are remembered.
-    std::size_t max_server_words = 4096;
+    /// Maximum number of incarnations of servers whose notices are remembered.
+    std::size_t max_restricted_servers = 4096;
     std::chrono::milliseconds connect_timeout{700};
     /// A connection is closed when the backend server doesn't acknowledge sent
     /// data for this time.
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -29,7 +29,8 @@
         : settings_(std::move(settings)), protocol_(std::move(protocol)),
           hooks_(std::move(hooks)), acceptor_(context_),
           server_connections_(context_, settings_),
-          words_(settings_.max_server_words), actions_(max_queued_actions)
+          restrictions_(settings_.max_restricted_servers),
+          actions_(max_queued_actions)
     {
     }
 
@@ -139,7 +140,8 @@
         current = std::make_shared<exchange>(
             id, std::move(request), caller.shared_from_this(),
             exchange::dependencies{
-                context_, settings_, protocol_, server_connections_, words_,
+                context_, settings_, protocol_, server_connections_,
+                restrictions_,
                 [this](dispatch::event event) { report(std::move(event)); },
                 [this, &current, keep_alive = caller.shared_from_this()](
                     core::request_id finished) {
@@ -201,7 +203,7 @@
     void execute(const dispatch::ejection_change&) {}
     void execute(const dispatch::quarantine_change&) {}
     void execute(const dispatch::rate_limit_change&) {}
-    void execute(const dispatch::server_said&) {}
+    void execute(const dispatch::notice_record&) {}
     void execute(const dispatch::send_load_report&) {}
     void execute(const dispatch::send_crash_report&) {}
     void execute(const dispatch::send_notice_report&) {}
@@ -224,7 +226,7 @@
     asio::io_context context_{1};
     tcp::acceptor acceptor_;
     server_connection_pool server_connections_;
-    dispatch::server_words words_;
+    dispatch::call_restrictions restrictions_;
     action_ring actions_;
     /// A call of `execute_actions` is posted and has not started.
     std::atomic<bool> is_wakeup_pending_ = false;
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -81,8 +81,9 @@
         else if (const auto* limit =
                      std::get_if<dispatch::rate_limit_change>(&action))
             hooks_.record_rate_limit(*limit);
-        else if (const auto* said = std::get_if<dispatch::server_said>(&action))
-            hooks_.record_word(*said);
+        else if (const auto* notice =
+                     std::get_if<dispatch::notice_record>(&action))
+            hooks_.record_notice(*notice);
         else if (const auto* crashes =
                      std::get_if<dispatch::send_crash_report>(&action))
             hooks_.send_crash_report(crashes->report);
--- a/oriolefall/router/decide_duty.hpp
+++ b/oriolefall/router/decide_duty.hpp
@@ -28,7 +28,7 @@
             record_quarantine;
         std::function<void(const dispatch::rate_limit_change&)>
             record_rate_limit;
-        std::function<void(const dispatch::server_said&)> record_word;
+        std::function<void(const dispatch::notice_record&)> record_notice;
         /// Send the report to the other instances; reports may be lost.
         std::function<void(const dispatch::load_report&)> send_load_report;
         std::function<void(const dispatch::crash_report&)> send_crash_report;
--- a/oriolefall/router/request_log.cpp
+++ b/oriolefall/router/request_log.cpp
@@ -116,15 +116,15 @@
                     change.rate_limit ? "server_limited" : "server_unlimited");
 }
 
-void request_log::log(absl::Time now, const dispatch::server_said& said)
+void request_log::log(absl::Time now, const dispatch::notice_record& notice)
 {
     line_fields fields;
-    fields.add("server", said.server.value());
-    fields.add("word", std::string(dispatch::to_string(said.word)));
-    fields.add_number(
-        "for_ms",
-        static_cast<std::uint64_t>(absl::ToInt64Milliseconds(said.quiet_time)));
-    fields.write_to(log_, now, "server_said");
+    fields.add("server", notice.server.value());
+    fields.add("kind", std::string(dispatch::to_string(notice.kind)));
+    fields.add_number("for_ms",
+                      static_cast<std::uint64_t>(
+                          absl::ToInt64Milliseconds(notice.quiet_time)));
+    fields.write_to(log_, now, "server_notice");
 }
 
 bool request_log::may_write_directly(absl::Time now)
--- a/oriolefall/router/request_log.hpp
+++ b/oriolefall/router/request_log.hpp
@@ -39,7 +39,7 @@
     void log(absl::Time now, const dispatch::ejection_change& change);
     void log(absl::Time now, const dispatch::quarantine_change& change);
     void log(absl::Time now, const dispatch::rate_limit_change& change);
-    void log(absl::Time now, const dispatch::server_said& said);
+    void log(absl::Time now, const dispatch::notice_record& notice);
 
 private:
     struct buffered_record
--- a/oriolefall/router/router_metrics.cpp
+++ b/oriolefall/router/router_metrics.cpp
@@ -32,9 +32,9 @@
       rate_limit_changes_(
           counters("oriolefall_server_rate_limit_changes_total",
                    "Limits that servers named, changed or lifted")),
-      server_words_(counters("oriolefall_server_words_total",
-                             "What servers said of themselves, or that it "
-                             "could not be read")),
+      server_notices_(counters("oriolefall_server_notices_total",
+                               "What servers said of themselves, or that it "
+                               "could not be read")),
       server_connections_opened_(
           counters("oriolefall_server_connections_opened_total",
                    "Connections opened to backend servers")
@@ -107,9 +107,10 @@
         .Increment();
 }
 
-void router_metrics::record(const dispatch::server_said& value)
+void router_metrics::record(const dispatch::notice_record& value)
 {
-    server_words_.Add({{"word", std::string(dispatch::to_string(value.word))}})
+    server_notices_
+        .Add({{"kind", std::string(dispatch::to_string(value.kind))}})
         .Increment();
 }
 
--- a/oriolefall/router/router_metrics.hpp
+++ b/oriolefall/router/router_metrics.hpp
@@ -37,7 +37,7 @@
     void record(const dispatch::ejection_change& value);
     void record(const dispatch::quarantine_change& value);
     void record(const dispatch::rate_limit_change& value);
-    void record(const dispatch::server_said& value);
+    void record(const dispatch::notice_record& value);
     void set_settings_version(std::uint64_t version);
     void set_servers(std::size_t ready, std::size_t draining,
                      std::size_t stale);
@@ -65,7 +65,7 @@
     counter_family& server_changes_;
     counter_family& quarantine_changes_;
     counter_family& rate_limit_changes_;
-    counter_family& server_words_;
+    counter_family& server_notices_;
     prometheus::Counter& server_connections_opened_;
     prometheus::Counter& dropped_log_lines_;
     gauge_family& servers_;
--- a/tests/adapter/soak/ledger.cpp
+++ b/tests/adapter/soak/ledger.cpp
@@ -202,14 +202,14 @@
         if (const auto fault = check(seen); !fault.empty())
             lines.push_back(kinds[static_cast<std::size_t>(seen.kind)] + " " +
                             seen.id + " by " + seen.instance + ": " + fault);
-    std::ranges::move(check_words(), std::back_inserter(lines));
+    std::ranges::move(check_notices(), std::back_inserter(lines));
     for (const auto& [id, ran] : runs_)
         if (std::ranges::find(attempts_, id, &attempt::id) == attempts_.end())
             lines.push_back("unasked " + id + " at " + ran.server);
     return lines;
 }
 
-std::vector<std::string> ledger::check_words() const
+std::vector<std::string> ledger::check_notices() const
 {
     std::map<std::string, const attempt*> attempts;
     for (const attempt& each : attempts_)
--- a/tests/adapter/soak/ledger.hpp
+++ b/tests/adapter/soak/ledger.hpp
@@ -146,7 +146,7 @@
     [[nodiscard]] std::optional<time_point> given_up_at(const run& each) const;
     /// Requests that reached servers after these had told the instance that
     /// they leave or want quiet.
-    [[nodiscard]] std::vector<std::string> check_words() const;
+    [[nodiscard]] std::vector<std::string> check_notices() const;
     [[nodiscard]] bool in_trouble(const std::string& instance, time_point from,
                                   time_point to) const;
 
--- a/tests/adapter/soak/schedule.cpp
+++ b/tests/adapter/soak/schedule.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr std::size_t kinds = 32;
-constexpr std::size_t word_kinds = 2;
+constexpr std::size_t notice_kinds = 2;
 constexpr std::size_t planned_kinds = 4;
-const std::array<const char*, kinds + word_kinds> names{
+const std::array<const char*, kinds + notice_kinds> names{
     "stop_instance",        "hang_up",
     "move_route",           "drain_server",
     "kill_instance",        "kill_all",
@@ -37,7 +37,7 @@
 constexpr std::uint64_t shortest_ms = 300;
 constexpr std::uint64_t time_spread_ms = 3000;
 constexpr std::uint64_t planned_each = 3;
-constexpr std::uint64_t most_words = 3;
+constexpr std::uint64_t most_notices = 3;
 
 /// `count` steps of kinds from `first` on.
 std::vector<step> make_steps(std::mt19937_64& random, std::size_t count,
@@ -82,11 +82,12 @@
     const std::size_t count = least_steps + random() % step_spread;
     std::vector<step> steps = make_steps(random, count, 0, choices, length);
     // A generator of their own leaves the steps above as they were.
-    std::mt19937_64 words_random(~seed);
-    const std::size_t word_choices = is_planned_only(seed) ? 1 : word_kinds;
-    const auto words = make_steps(words_random, 1 + words_random() % most_words,
-                                  kinds, word_choices, length);
-    steps.insert(steps.end(), words.begin(), words.end());
+    std::mt19937_64 notices_random(~seed);
+    const std::size_t notice_choices = is_planned_only(seed) ? 1 : notice_kinds;
+    const auto notices =
+        make_steps(notices_random, 1 + notices_random() % most_notices, kinds,
+                   notice_choices, length);
+    steps.insert(steps.end(), notices.begin(), notices.end());
     std::ranges::sort(steps);
     return steps;
 }
--- a/tests/dispatch/server_words_properties_test.cpp
+++ b/tests/dispatch/call_restrictions_properties_test.cpp
@@ -16,13 +16,13 @@
 
 namespace {
 
-/// Servers that say random words in their answers, while the store lists them,
-/// drops them, says that they drain and restarts them; and what each of these
-/// states allows.
-class talking_servers
+/// Servers that say random things of themselves in their answers, while the
+/// store lists them, drops them, says that they drain and restarts them; and
+/// what each of these states allows.
+class restricting_servers
 {
 public:
-    talking_servers()
+    restricting_servers()
     {
         simulation_.set_routes(make_route_settings(1));
         change_list();
@@ -44,7 +44,7 @@
     }
 
 private:
-    struct words
+    struct restriction
     {
         bool is_leaving = false;
         bool has_limit_of_zero = false;
@@ -71,14 +71,14 @@
         simulation_.set_servers(entries_);
     }
 
-    words& words_of(const server_entry& entry)
+    restriction& restriction_of(const server_entry& entry)
     {
-        return words_[{entry.id, entry.started_at_ms}];
+        return restrictions_[{entry.id, entry.started_at_ms}];
     }
 
     [[nodiscard]] bool is_forbidden(const server_entry& entry)
     {
-        const words& said = words_of(entry);
+        const restriction& said = restriction_of(entry);
         return entry.is_draining || said.is_leaving || said.has_limit_of_zero ||
                simulation_.now < said.quiet_until;
     }
@@ -86,7 +86,7 @@
     [[nodiscard]] bool is_surely_allowed(const server_entry& entry)
     {
         return !is_forbidden(entry) &&
-               simulation_.now >= words_of(entry).quiet_until_at_most;
+               simulation_.now >= restriction_of(entry).quiet_until_at_most;
     }
 
     void receive_request()
@@ -110,7 +110,7 @@
     void answer(const send_call& call, const server_entry& entry)
     {
         simulation_.advance(absl::Milliseconds(1));
-        words& said = words_of(entry);
+        restriction& said = restriction_of(entry);
         server_notice notice;
         switch (*rc::gen::inRange(0, 6)) {
         case 0:
@@ -144,16 +144,16 @@
     dispatcher_simulation simulation_;
     std::vector<server_entry> entries_;
     std::map<std::string, std::int64_t> started_at_;
-    std::map<server_incarnation, words> words_;
+    std::map<server_incarnation, restriction> restrictions_;
 };
 
 } // namespace
 
-Test(server_words_properties,
+Test(call_restrictions_properties,
      calls_go_where_no_state_forbids_and_all_states_end)
 {
     const bool holds = rc::check([] {
-        talking_servers servers;
+        restricting_servers servers;
         const int steps = *rc::gen::inRange(1, 80);
         for (int step = 0; step < steps; ++step)
             servers.run_random_step();
--- a/tests/dispatch/server_words_test.cpp
+++ b/tests/dispatch/call_restrictions_test.cpp
@@ -64,7 +64,8 @@
 
 // A server that had said that it leaves got requests until the store said so
 // too, and again when a list came that did not.
-Test(server_words, a_server_that_leaves_gets_nothing_whatever_the_store_says)
+Test(call_restrictions,
+     a_server_that_leaves_gets_nothing_whatever_the_store_says)
 {
     one_server_simulation simulation(leaving());
     cr_assert_not(simulation.is_sent());
@@ -77,7 +78,7 @@
     cr_assert_not(simulation.is_sent());
 }
 
-Test(server_words, leaving_ends_with_the_incarnation)
+Test(call_restrictions, leaving_ends_with_the_incarnation)
 {
     one_server_simulation simulation(leaving());
     ++simulation.entry.started_at_ms;
@@ -85,7 +86,7 @@
     cr_assert(simulation.is_sent());
 }
 
-Test(server_words, another_server_at_the_address_is_used)
+Test(call_restrictions, another_server_at_the_address_is_used)
 {
     one_server_simulation simulation(leaving());
     simulation.set_servers({make_server_entry("d2", "desk")});
@@ -93,7 +94,7 @@
 }
 
 // A server that had asked for a pause got the next request at once.
-Test(server_words, a_server_that_wants_quiet_gets_nothing_until_then)
+Test(call_restrictions, a_server_that_wants_quiet_gets_nothing_until_then)
 {
     one_server_simulation simulation(quiet(absl::Seconds(3)));
     cr_assert_not(simulation.is_sent());
@@ -109,13 +110,13 @@
     cr_assert(simulation.is_sent());
 }
 
-Test(server_words, a_time_of_zero_is_no_time)
+Test(call_restrictions, a_time_of_zero_is_no_time)
 {
     one_server_simulation simulation(quiet(absl::ZeroDuration()));
     cr_assert(simulation.is_sent());
 }
 
-Test(server_words, a_shorter_time_does_not_end_a_longer_one)
+Test(call_restrictions, a_shorter_time_does_not_end_a_longer_one)
 {
     one_server_simulation simulation(quiet(absl::Seconds(1)));
     simulation.advance(absl::Milliseconds(1200));
@@ -132,7 +133,7 @@
 }
 
 // The answer came from the server that has the address now.
-Test(server_words, of_another_server_say_nothing_of_the_one_called)
+Test(call_restrictions, of_another_server_say_nothing_of_the_one_called)
 {
     dispatcher_simulation simulation;
     simulation.set_routes(make_route_settings(1));
@@ -141,10 +142,10 @@
     const send_call call = *simulation.last<send_call>();
     simulation.step(call_not_run{call.id, call.call,
                                  not_run_cause::wrong_server, leaving()});
-    cr_assert_eq(simulation.count<server_said>(), 0);
+    cr_assert_eq(simulation.count<notice_record>(), 0);
 }
 
-Test(server_words, the_request_that_was_refused_goes_elsewhere)
+Test(call_restrictions, the_request_that_was_refused_goes_elsewhere)
 {
     dispatcher_simulation simulation;
     simulation.set_routes(make_route_settings(1));
@@ -159,7 +160,7 @@
                   first.server.value());
 }
 
-Test(server_words, of_a_third_of_thousands_of_servers_are_obeyed)
+Test(call_restrictions, of_a_third_of_thousands_of_servers_are_obeyed)
 {
     constexpr int server_count = 2400;
     dispatcher_simulation simulation;
--- a/tests/dispatch/dispatcher_properties_test.cpp
+++ b/tests/dispatch/dispatcher_properties_test.cpp
@@ -211,7 +211,7 @@
     void check(const quarantine_change&) {}
     void check(const send_notice_report&) {}
     void check(const rate_limit_change&) {}
-    void check(const server_said&) {}
+    void check(const notice_record&) {}
     void check(const decision_record&) {}
     void check(const ejection_change&) {}
 
