peer: a stop right after a message is noticed at once

Cause, by reading: the link's thread is woken through a flag and an eventfd. A message and the closing of the ring that come before it has reset the flag wake it once; it then takes the message, is told "not closed yet", and waits for its sockets, up to a minute. Class: one wake for two changes of which only one is taken at a time. Elsewhere rings are waited on directly, or each wake takes all. Now a closed ring wakes the thread again until it has seen the end. Test: link/stops_at_once_after_a_message, timed out after 60 s before, 1 s after.

--- a/oriolefall/peer/link_loop.cpp
+++ b/oriolefall/peer/link_loop.cpp
@@ -66,7 +66,9 @@
         return false;
     for (const link_command& command : batch_)
         std::visit([&](const auto& value) { apply(now, value); }, command);
-    if (batch_.size() == max_batch)
+    // Nobody wakes this thread again for what is still in a closed ring, nor
+    // for its end.
+    if (batch_.size() == max_batch || commands_.closed())
         waker_.wake();
     return true;
 }
--- a/tests/adapter/soak/ledger.hpp
+++ b/tests/adapter/soak/ledger.hpp
@@ -113,6 +113,8 @@
     void add(attempt seen);
     /// The server may get nothing more from `at` on: its leaving was accepted.
     void note_leaving(const std::string& server, time_point at);
+    /// The instance has started again, and knows nothing that it had been told.
+    void note_restart(const std::string& instance, time_point at);
     void note_arrival(arrival seen);
     /// The server's answer says that it leaves.
     void note_said_leaving(const arrival& answered);
@@ -147,6 +149,8 @@
     /// Requests that reached servers after these had told the instance that
     /// they leave or want quiet.
     [[nodiscard]] std::vector<std::string> check_notices() const;
+    [[nodiscard]] bool has_restarted(const std::string& instance,
+                                     time_point from, time_point to) const;
     [[nodiscard]] bool in_trouble(const std::string& instance, time_point from,
                                   time_point to) const;
 
@@ -171,6 +175,7 @@
     };
     std::vector<move> moves_;
     std::multimap<std::string, span> troubles_;
+    std::multimap<std::string, time_point> restarts_;
     std::vector<std::string> broken_;
 };
 
--- a/tests/adapter/soak/soak.cpp
+++ b/tests/adapter/soak/soak.cpp
@@ -213,6 +213,7 @@
         each.is_paused = false;
         each.must_end_by = clock::time_point::max();
         each.process->start();
+        seen_.note_restart(each.process->place().name, clock::now());
     }
 }
 
--- a/tests/adapter/soak_ledger_test.cpp
+++ b/tests/adapter/soak_ledger_test.cpp
@@ -153,6 +153,10 @@
     first.how = ending::cut;
     book.add(first);
     cr_assert_eq(broken(book), 1);
+    book.note_restart("instance-0", start - milliseconds(3500));
+    cr_assert_eq(broken(book), 1);
+    book.note_restart("instance-0", start - milliseconds(500));
+    cr_assert_eq(broken(book), 0);
 }
 
 // More than two requests reached a server that had asked for quiet.
--- a/tests/peer/link_test.cpp
+++ b/tests/peer/link_test.cpp
@@ -291,3 +291,18 @@
     cr_assert(one.link.send(core::instance_id("none"), make_query(2)));
     one.await_refusal(refusal::not_connected);
 }
+
+// A stop right after a message was overlooked until the link's thread woke by
+// itself, up to a minute later.
+Test(link, stops_at_once_after_a_message, .timeout = 60)
+{
+    core::bounded_ring<int> timer(1);
+    for (int i = 0; i < 200; ++i) {
+        test_link one("one");
+        // Time for the thread to wait for its sockets.
+        (void)timer.pop_until(std::chrono::steady_clock::now() +
+                              std::chrono::milliseconds(2));
+        one.link.send(core::instance_id("two"), make_query(1));
+        one.link.stop();
+    }
+}
