router: a planned stop that runs out of time ends within its grace time

Cause: 250 ms before that time the exit began, and then waited 300 ms for what had been written last, by a constant that stood for something else. Now the time for the last write has its own name and is taken off as well.

--- a/oriolefall/router/run.cpp
+++ b/oriolefall/router/run.cpp
@@ -14,6 +14,8 @@
 constexpr double max_lifetime_factor = 3;
 /// Added so that the addresses in the last answers have expired at all callers.
 constexpr absl::Duration expiry_margin = absl::Milliseconds(300);
+/// Time to send what was written last.
+constexpr absl::Duration last_write_time = absl::Milliseconds(300);
 /// Part of the shutdown timeout that is reserved for the exit of the process.
 constexpr absl::Duration exit_margin = absl::Milliseconds(250);
 constexpr std::chrono::milliseconds drain_check_interval{50};
@@ -64,9 +66,10 @@
     {
         if (std::exchange(is_stopping_, true))
             return;
-        drain_deadline_ = std::chrono::steady_clock::now() +
-                          absl::ToChronoMilliseconds(
-                              settings_.shutdown_timeout - exit_margin);
+        drain_deadline_ =
+            std::chrono::steady_clock::now() +
+            absl::ToChronoMilliseconds(settings_.shutdown_timeout -
+                                       last_write_time - exit_margin);
         router_.leave();
         const absl::Duration accept_time =
             settings_.address_lifetime + expiry_margin;
@@ -83,8 +86,7 @@
     {
         if (!router_.has_open_requests() ||
             std::chrono::steady_clock::now() >= drain_deadline_) {
-            // Leaves time to send what was written last.
-            run_after(expiry_margin, [this] { context_.stop(); });
+            run_after(last_write_time, [this] { context_.stop(); });
             return;
         }
         drain_timer_.expires_after(drain_check_interval);
