--- a/tests/dispatch/server_limit_test.cpp
+++ b/tests/dispatch/server_limit_test.cpp
@@ -76,8 +76,8 @@
             for (const absl::Time first : times) {
                 if (first < start_ + begin)
                     continue;
-                const auto count =
-                    std::ranges::count_if(times, [first](absl::Time each) {
+                const auto count = std::ranges::count_if(
+                    times, [first, window](absl::Time each) {
                         return each >= first && each < first + window;
                     });
                 most = std::max(most, static_cast<std::size_t>(count));
--- a/tests/forward/unframed_stream_test.cpp
+++ b/tests/forward/unframed_stream_test.cpp
@@ -55,9 +55,13 @@
 // whole stream.
 Test(unframed_stream, is_broken_when_its_connection_ends_inside_an_event)
 {
-    for (const std::string rest : {"id: 2", "id: 2\nda", "id: 2\ndata: b\n"})
+    for (const std::string rest : {"id: 2", "id: 2\nda", "id: 2\ndata: b\n"}) {
+        std::string answer = unframed_head;
+        answer += event;
+        answer += rest;
         cr_assert(std::holds_alternative<dispatch::call_broken>(
-            last_event_of(unframed_head + event + rest)));
+            last_event_of(answer)));
+    }
 }
 
 // A server that crashed when it began to answer looked as if it had answered.
