--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -27,27 +27,13 @@
                           settings_.may_start_stale && !is_synced_},
                 next_call_at_};
     const watch_call watch{settings_.collection, watch_revision_,
-                           next_watch_timeout()};
+                           is_unreachable_ ? settings_.recovery_watch_timeout
+                                           : settings_.watch_timeout};
     if (role_ != relay_role::follower)
         return {watch, next_call_at_};
     return {watch, std::max(next_call_at_, next_fallback())};
 }
 
-absl::Duration collection_follower::next_watch_timeout() const
-{
-    if (is_unreachable_)
-        return settings_.recovery_watch_timeout;
-    switch (role_) {
-    case relay_role::independent:
-        return settings_.watch_timeout;
-    case relay_role::watcher:
-        return settings_.watcher_timeout;
-    case relay_role::follower:
-        break;
-    }
-    return settings_.fallback_watch_timeout;
-}
-
 absl::Time collection_follower::next_fallback() const
 {
     return std::max(confirmed_at_ + settings_.relay_timeout,
@@ -300,7 +286,8 @@
 
 absl::Duration collection_follower::next_backoff(absl::Time now) const
 {
-    if (role_ != relay_role::independent &&
+    // The first failure may be that of the connection alone.
+    if (failure_count_ > 0 && role_ != relay_role::independent &&
         now - confirmed_at_ < settings_.relay_timeout)
         return settings_.relayed_backoff;
     const auto doublings = std::min(failure_count_, max_doublings);
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -20,9 +20,10 @@
 struct follower_settings
 {
     std::string collection;
-    /// Timeout of a watch call. It is long because each call is billed; TCP
-    /// keep-alive probes detect a dead connection much earlier.
-    absl::Duration watch_timeout = absl::Seconds(6);
+    /// Timeout of a watch call. A watch whose connection has fallen silent
+    /// looks like one without news for this long, whatever other connections
+    /// show.
+    absl::Duration watch_timeout = absl::Seconds(2);
     /// Timeout of watch calls while the store is unreachable; short, so that
     /// its recovery is detected soon.
     absl::Duration recovery_watch_timeout = absl::Milliseconds(500);
@@ -33,20 +34,15 @@
     /// less. What it lacks comes by the first watch or from a peer.
     bool may_start_stale = false;
     relay_role initial_role = relay_role::independent;
-    /// Timeout of the watch calls of a watcher. Its path to the store is
-    /// checked by cheaper calls meanwhile, and there are other watchers.
-    absl::Duration watcher_timeout = absl::Seconds(15);
     /// An instance that receives the collection from peers calls the store
     /// itself when its view has not been confirmed for this long.
     absl::Duration relay_timeout = absl::Milliseconds(1500);
     /// The same until the first confirmation, while peers are found.
     absl::Duration initial_relay_timeout = absl::Milliseconds(2500);
-    /// Timeout of the watch calls of such an instance.
-    absl::Duration fallback_watch_timeout = absl::Seconds(2);
     /// Delay before the next watch of a watcher after changes were received.
     absl::Duration watcher_batch_delay = absl::Milliseconds(500);
-    /// Delay before the store is called again after a failed call while peers
-    /// confirm the view: the store turns away this instance only.
+    /// Delay before the store is called again after repeated failures while
+    /// peers confirm the view: the store turns away this instance only.
     absl::Duration relayed_backoff = absl::Seconds(2);
     /// Delay before an empty collection is listed again at the start.
     absl::Duration empty_list_delay = absl::Milliseconds(500);
@@ -127,7 +123,6 @@
     bool apply_snapshot(absl::Time now, const collection_update& update);
     void remove(absl::Time now, const stored_object& deleted,
                 std::uint64_t known_at);
-    [[nodiscard]] absl::Duration next_watch_timeout() const;
     [[nodiscard]] absl::Duration next_backoff(absl::Time now) const;
     [[nodiscard]] absl::Time next_fallback() const;
     bool put(const stored_object& object);
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -21,11 +21,13 @@
                                  answer->status == status_not_found);
 }
 
-std::chrono::milliseconds watch_timeout_of(const read_call& call)
+std::chrono::milliseconds answer_timeout_of(const read_call& call,
+                                            const store_duty_settings& settings)
 {
     if (const auto* watch = std::get_if<watch_call>(&call))
-        return absl::ToChronoMilliseconds(watch->timeout);
-    return std::chrono::milliseconds::zero();
+        return absl::ToChronoMilliseconds(watch->timeout) +
+               settings.watch_answer_timeout;
+    return settings.answer_timeout;
 }
 
 } // namespace
@@ -228,8 +230,7 @@
     const store_request request{http::verb::get,
                                 protocol_.target(call),
                                 {},
-                                settings_.answer_timeout +
-                                    watch_timeout_of(call)};
+                                answer_timeout_of(call, settings_)};
     collection.connection->call(
         request, [this, &collection, call](const store_result& result) {
             collection.is_calling = false;
--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -30,6 +30,9 @@
     relay_role initial_role = relay_role::independent;
     registration_settings registration;
     std::chrono::milliseconds answer_timeout{1200};
+    /// Time that the answer to a watch may take beyond the timeout of the
+    /// watch.
+    std::chrono::milliseconds watch_answer_timeout{700};
     /// Time between two checks of the relay: whether a query or a role is due.
     std::chrono::milliseconds relay_check_interval{100};
     /// Time between two cheap calls by which a watching instance verifies that
