follow: a store that was restored from a copy begins an era of its own (CONFIG)

Cause: revisions were taken for one order of all that the store ever says. It gives them out again, so that everything it said afterwards was refused as older, by the follower and among peers. Log: no settings_in_force after the restore, though version 14 was acknowledged; 2,431 calls of the store, for each watch was answered with what was refused.

Change: what is known of a collection belongs to one era of the store, which all its answers name. A later one has the collection listed anew and replaces all; an earlier one, also of a peer, changes and confirms nothing. Changes that the copy lacks are remembered for 5 s, so that no server's leaving is undone. The parsed servers go by era, the own registration is looked up at once. The stand-in of the store can be restored, and the soak restores it.

Ruled out: settings refused by their version (nothing was parsed after the restore), a watch that hangs (more calls, not fewer).

--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/follow/collection_follower.hpp"
 
+#include "oriolefall/follow/lost_changes.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -45,9 +47,11 @@
     role_ = role;
 }
 
-void collection_follower::on_path_confirmed(absl::Time sent_at)
+void collection_follower::on_path_confirmed(
+    absl::Time sent_at, std::optional<std::uint64_t> named_era)
 {
     if (role_ == relay_role::watcher && !is_listing_ && !is_unreachable_ &&
+        named_era.value_or(view_.era) == view_.era &&
         call_started_at_ <= sent_at)
         confirmed_at_ = std::max(confirmed_at_, sent_at);
 }
@@ -55,17 +59,20 @@
 bool collection_follower::on_relayed(absl::Time now, absl::Time asked_at,
                                      const collection_update& update)
 {
+    const bool is_same_era = update.era == view_.era;
     // A peer that lacks a change which is known here confirms nothing.
-    if (update.revision < last_change_revision_ ||
-        (!update.is_snapshot && update.from_revision > watch_revision_))
+    if (update.era < view_.era ||
+        (is_same_era && update.revision < last_change_revision_))
         return false;
-    if (!is_synced_ && !update.is_snapshot)
+    const bool follows_view =
+        is_synced_ && is_same_era && update.from_revision <= watch_revision_;
+    if (!update.is_snapshot && !follows_view)
         return false;
     if (update.reachable_for < absl::InfiniteDuration())
         reachable_since_ =
             std::max(reachable_since_, now - update.reachable_for);
     bool has_changed = false;
-    if (update.revision > watch_revision_) {
+    if (!is_same_era || update.revision > watch_revision_) {
         has_changed = update.is_snapshot
                           ? apply_snapshot(now, update)
                           : apply(now, update.changes, update.revision);
@@ -81,57 +88,93 @@
 }
 
 collection_update
-collection_follower::update_since(absl::Time now, std::uint64_t revision) const
+collection_follower::update_since(absl::Time now,
+                                  const collection_revision& known) const
 {
     collection_update update;
     update.collection = settings_.collection;
-    update.from_revision = revision;
+    update.from_revision = known.revision;
     update.revision = watch_revision_;
-    if (!is_synced_)
+    update.era = view_.era;
+    if (!is_synced_ || known.era > view_.era)
         return update;
     update.age = now - confirmed_at_;
     update.reachable_for = now - reachable_since_;
-    if (revision >= watch_revision_)
+    const bool is_same_era = known.era == view_.era;
+    if (is_same_era && known.revision >= watch_revision_)
         return update;
-    update.is_snapshot = !deletions_.covers(revision);
+    update.is_snapshot = !is_same_era || !deletions_.covers(known.revision);
     for (const auto& [name, object] : view_.objects)
-        if (update.is_snapshot || object.revision > revision)
+        if (update.is_snapshot || object.revision > known.revision)
             update.changes.push_back({object, false});
     if (!update.is_snapshot)
-        std::ranges::copy_if(
-            deletions_.since(revision), std::back_inserter(update.changes),
-            [this](const object_change& deletion) {
-                return !view_.objects.contains(deletion.object.name);
-            });
+        std::ranges::copy_if(deletions_.since(known.revision),
+                             std::back_inserter(update.changes),
+                             [this](const object_change& deletion) {
+                                 return !view_.objects.contains(
+                                     deletion.object.name);
+                             });
     return update;
 }
 
 void collection_follower::on_call_started(absl::Time now)
 {
     call_started_at_ = now;
+    call_era_ = view_.era;
 }
 
-bool collection_follower::on_result(absl::Time now, const call_result& result)
+bool collection_follower::on_result(absl::Time now, const call_result& result,
+                                    std::optional<std::uint64_t> named_era)
 {
+    const std::uint64_t era = named_era.value_or(view_.era);
     call_started_at_ = absl::InfiniteFuture();
-    return std::visit([&](const auto& value) { return on(now, value); },
-                      result);
+    if (std::holds_alternative<call_failed>(result)) {
+        on_failure(now);
+        return false;
+    }
+    record_answer(now);
+    if (era < view_.era) {
+        if (is_listing_)
+            restart_list();
+        next_call_at_ = now + settings_.relist_delay;
+        return false;
+    }
+    if (const auto* page = std::get_if<list_page>(&result))
+        return on_page(now, *page, era);
+    if (era > view_.era) {
+        restart_list();
+        return false;
+    }
+    // The call was made in an earlier era than the one that a peer told of.
+    if (call_era_ != view_.era)
+        return false;
+    if (const auto* changes = std::get_if<change_list>(&result))
+        return on_changes(now, *changes);
+    restart_list();
+    return false;
 }
 
-bool collection_follower::expire_stale(absl::Time now)
+bool collection_follower::expire(absl::Time now)
 {
     if (now < next_expiry())
         return false;
-    view_.stale.clear();
+    if (now >= reachable_since_ + settings_.stale_timeout)
+        view_.stale.clear();
+    if (now >= reachable_since_ + settings_.lost_change_timeout)
+        view_.lost_changes.clear();
     return true;
 }
 
 absl::Time collection_follower::next_expiry() const
 {
     // While the store is unreachable it is unknown which objects still exist.
-    if (view_.stale.empty() || is_unreachable_)
+    if (is_unreachable_)
         return absl::InfiniteFuture();
-    return reachable_since_ + settings_.stale_timeout;
+    if (!view_.stale.empty())
+        return reachable_since_ + settings_.stale_timeout;
+    if (!view_.lost_changes.empty())
+        return reachable_since_ + settings_.lost_change_timeout;
+    return absl::InfiniteFuture();
 }
 
 bool collection_follower::is_synced() const
@@ -154,9 +197,9 @@
     return confirmed_at_;
 }
 
-std::uint64_t collection_follower::revision() const
+collection_revision collection_follower::revision() const
 {
-    return watch_revision_;
+    return {settings_.collection, watch_revision_, view_.era};
 }
 
 void collection_follower::record_answer(absl::Time now)
@@ -168,14 +211,26 @@
     next_call_at_ = absl::InfinitePast();
 }
 
-bool collection_follower::on(absl::Time now, const list_page& page)
+void collection_follower::restart_list()
+{
+    is_listing_ = true;
+    list_cursor_.clear();
+    listed_.clear();
+}
+
+bool collection_follower::on_page(absl::Time now, const list_page& page,
+                                  std::uint64_t era)
 {
-    record_answer(now);
     if (!is_listing_)
         return false;
     // Pages may have different revisions; the watch starts from the first one.
-    if (list_cursor_.empty())
+    if (list_cursor_.empty()) {
         list_revision_ = page.revision;
+        list_era_ = era;
+    } else if (era != list_era_) {
+        restart_list();
+        return false;
+    }
     for (const stored_object& object : page.objects)
         listed_.insert_or_assign(object.name, object);
     if (page.has_more && !page.objects.empty()) {
@@ -183,7 +238,7 @@
         return apply_initial_page(page);
     }
     if (listed_.empty() && settings_.may_start_stale && !is_synced_) {
-        next_call_at_ = now + settings_.empty_list_delay;
+        next_call_at_ = now + settings_.relist_delay;
         return false;
     }
     return finish_list(now);
@@ -201,6 +256,8 @@
 bool collection_follower::finish_list(absl::Time now)
 {
     const collection_view before = view_;
+    if (list_era_ != view_.era)
+        begin_era(now);
     std::vector<std::string> removed;
     for (const auto& [name, object] : view_.objects)
         if (!listed_.contains(name))
@@ -221,9 +278,25 @@
     return is_first || view_ != before;
 }
 
-bool collection_follower::on(absl::Time now, const change_list& changes)
+void collection_follower::begin_era(absl::Time now)
+{
+    // Of several restores the changes lost by the first may still be missing.
+    view_.lost_changes.merge(
+        find_lost_changes(view_.objects, deletions_.since(0), listed_));
+    for (auto& [name, object] : view_.objects)
+        if (!listed_.contains(name))
+            view_.stale.insert_or_assign(name, std::move(object));
+    view_.objects.clear();
+    view_.era = list_era_;
+    watch_revision_ = 0;
+    last_change_revision_ = 0;
+    deletions_.restart(list_revision_);
+    if (is_synced_)
+        reachable_since_ = now;
+}
+
+bool collection_follower::on_changes(absl::Time now, const change_list& changes)
 {
-    record_answer(now);
     confirmed_at_ = now;
     const bool has_changed = apply(now, changes.changes, changes.revision);
     watch_revision_ = std::max(watch_revision_, changes.revision);
@@ -243,6 +316,7 @@
         const stored_object& object = change.object;
         last_change_revision_ =
             std::max(last_change_revision_, object.revision);
+        view_.lost_changes.erase(object.name);
         if (!change.is_deleted) {
             has_changed = put(object) || has_changed;
             continue;
@@ -264,24 +338,15 @@
     for (const object_change& change : update.changes)
         listed_.insert_or_assign(change.object.name, change.object);
     list_revision_ = update.revision;
+    list_era_ = update.era;
     return finish_list(now);
 }
 
-bool collection_follower::on(absl::Time now, const history_gone&)
-{
-    record_answer(now);
-    is_listing_ = true;
-    list_cursor_.clear();
-    listed_.clear();
-    return false;
-}
-
-bool collection_follower::on(absl::Time now, const call_failed&)
+void collection_follower::on_failure(absl::Time now)
 {
     is_unreachable_ = true;
     next_call_at_ = now + next_backoff(now);
     ++failure_count_;
-    return false;
 }
 
 absl::Duration collection_follower::next_backoff(absl::Time now) const
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -44,13 +44,18 @@
     /// Delay before the store is called again after repeated failures while
     /// peers confirm the view: the store turns away this instance only.
     absl::Duration relayed_backoff = absl::Seconds(2);
-    /// Delay before an empty collection is listed again at the start.
-    absl::Duration empty_list_delay = absl::Milliseconds(500);
+    /// Delay before the collection is listed again when it was empty at the
+    /// start, or as it was before the store was restored.
+    absl::Duration relist_delay = absl::Milliseconds(500);
     absl::Duration initial_backoff = absl::Milliseconds(100);
     absl::Duration max_backoff = absl::Milliseconds(800);
     /// Time after the recovery of the store for which removed objects are
     /// retained as stale, since their writers may store them again.
     absl::Duration stale_timeout = absl::Milliseconds(2200);
+    /// Time after the recovery of the store for which changes that it has lost
+    /// are remembered. Longer than it takes the store to drop the object of a
+    /// writer that is gone.
+    absl::Duration lost_change_timeout = absl::Seconds(5);
     std::strong_ordering operator<=>(const follower_settings&) const = default;
 };
 
@@ -61,11 +66,19 @@
     /// Objects that were removed while the store was unreachable or shortly
     /// after its recovery; they may reappear.
     std::map<std::string, stored_object> stale;
+    /// The last known changes that the store no longer has, since it was
+    /// restored from a copy. Their writers may make them again.
+    std::map<std::string, object_change> lost_changes;
+    /// Counts the restores of the store. Revisions of one era say nothing about
+    /// those of another.
+    std::uint64_t era = 0;
     auto operator<=>(const collection_view&) const = default;
 };
 
 /// Tracks one collection by list and watch, or by what peers relay. A state
-/// machine without I/O or clock. An older revision never replaces a newer one.
+/// machine without I/O or clock. An older revision never replaces a newer one
+/// of the same era; when the store was restored, the collection is listed anew,
+/// and what is known of an earlier era replaces nothing.
 ///
 /// A view that peers relay is confirmed as of the time at which a watching
 /// instance had it confirmed by the store. Without a recent confirmation the
@@ -79,23 +92,27 @@
     [[nodiscard]] std::pair<read_call, absl::Time> next_call() const;
     /// That call was sent.
     void on_call_started(absl::Time now);
-    /// Processes the result of that call. Returns whether the view changed.
-    bool on_result(absl::Time now, const call_result& result);
+    /// Processes the result of that call. `named_era` is the one that the
+    /// answer names, if any. Returns whether the view changed.
+    bool on_result(absl::Time now, const call_result& result,
+                   std::optional<std::uint64_t> named_era = {});
     void set_role(relay_role role);
     /// The store has answered a call that was sent at `sent_at`, so that a
     /// pending watch would have reported changes made before.
-    void on_path_confirmed(absl::Time sent_at);
+    void on_path_confirmed(absl::Time sent_at,
+                           std::optional<std::uint64_t> named_era = {});
     /// Processes what a peer knows; its age was known at `asked_at` or later.
     /// Returns whether the view changed.
     bool on_relayed(absl::Time now, absl::Time asked_at,
                     const collection_update& update);
-    /// What this instance knows beyond `revision`.
-    [[nodiscard]] collection_update update_since(absl::Time now,
-                                                 std::uint64_t revision) const;
-    /// Removes stale objects that are due. Returns whether the view changed.
-    bool expire_stale(absl::Time now);
-    /// When `expire_stale` is due; infinite without stale objects and while the
-    /// store is unreachable.
+    /// What this instance knows beyond what a peer does.
+    [[nodiscard]] collection_update
+    update_since(absl::Time now, const collection_revision& known) const;
+    /// Removes stale objects and lost changes that are due. Returns whether the
+    /// view changed.
+    bool expire(absl::Time now);
+    /// When `expire` is due; infinite without such objects and while the store
+    /// is unreachable.
     [[nodiscard]] absl::Time next_expiry() const;
 
     /// Whether the collection has been listed completely at least once.
@@ -105,19 +122,22 @@
     [[nodiscard]] bool is_unreachable() const;
     /// The latest time at which the view was known to be the store's newest.
     [[nodiscard]] absl::Time confirmed_at() const;
-    /// The revision up to which the collection is known.
-    [[nodiscard]] std::uint64_t revision() const;
+    /// Up to where the collection is known.
+    [[nodiscard]] collection_revision revision() const;
 
 private:
-    bool on(absl::Time now, const list_page& page);
-    bool on(absl::Time now, const change_list& changes);
-    bool on(absl::Time now, const history_gone& gone);
-    bool on(absl::Time now, const call_failed& failure);
+    bool on_page(absl::Time now, const list_page& page, std::uint64_t era);
+    bool on_changes(absl::Time now, const change_list& changes);
+    void on_failure(absl::Time now);
     void record_answer(absl::Time now);
+    void restart_list();
     /// Adds a page of the initial list to the view as soon as it arrives: a few
     /// servers are better than none while hundreds of pages are read.
     bool apply_initial_page(const list_page& page);
     bool finish_list(absl::Time now);
+    /// Turns to the era of the list: keeps nothing of the earlier one but what
+    /// the writers may store again.
+    void begin_era(absl::Time now);
     bool apply(absl::Time now, const std::vector<object_change>& changes,
                std::uint64_t known_at);
     bool apply_snapshot(absl::Time now, const collection_update& update);
@@ -133,7 +153,10 @@
     std::map<std::string, stored_object> listed_;
     std::string list_cursor_;
     std::uint64_t list_revision_ = 0;
+    std::uint64_t list_era_ = 0;
     std::uint64_t watch_revision_ = 0;
+    /// Era of the view when the pending call was sent.
+    std::uint64_t call_era_ = 0;
     /// Highest revision of a change that was applied.
     std::uint64_t last_change_revision_ = 0;
     deletion_log deletions_;
--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -60,7 +60,7 @@
                                         ? protocol_.parse(call, *answer)
                                         : call_result(call_failed{"no answer"});
     const auto* page = std::get_if<list_page>(&read_result);
-    if (page == nullptr) {
+    if (page == nullptr || protocol_.era(*answer).value_or(era_) < era_) {
         list_cursor_.clear();
         listed_objects_.clear();
         schedule_list(settings_.retry_delay);
@@ -106,13 +106,24 @@
 
 void own_registration::schedule_list(std::chrono::milliseconds delay)
 {
+    is_list_scheduled_ = true;
     list_timer_.expires_after(delay);
     list_timer_.async_wait([this](const error_code& error) {
-        if (!error)
-            start_list();
+        if (error)
+            return;
+        is_list_scheduled_ = false;
+        start_list();
     });
 }
 
+void own_registration::on_store_restored(std::uint64_t era)
+{
+    era_ = std::max(era_, era);
+    is_written_ = false;
+    if (is_list_scheduled_ && !is_leaving_)
+        schedule_list(settings_.retry_delay);
+}
+
 void own_registration::write_own_object()
 {
     try_in_order(protocol_.put(own_.collection, own_.name, own_.value), 0,
--- a/oriolefall/follow/own_registration.hpp
+++ b/oriolefall/follow/own_registration.hpp
@@ -51,6 +51,9 @@
                      listed_hook on_listed);
 
     void start(own_object own);
+    /// The store was restored from a copy, and may have lost the own object:
+    /// lists again, and writes it if it is missing.
+    void on_store_restored(std::uint64_t era);
     /// Removes the own object. A failed call is not retried.
     void leave();
     /// Removes the object of another instance. A failed call is not retried.
@@ -82,6 +85,10 @@
     /// Number of complete lists when the own object was last written.
     std::uint32_t list_count_at_write_ = 0;
     bool is_written_ = false;
+    /// The next list waits for its timer.
+    bool is_list_scheduled_ = false;
+    /// Lists of earlier eras of the store say nothing.
+    std::uint64_t era_ = 0;
     bool is_leaving_ = false;
 };
 
--- a/oriolefall/follow/store_connection.cpp
+++ b/oriolefall/follow/store_connection.cpp
@@ -126,7 +126,8 @@
         stream_.reset();
     else
         stream_->expires_never();
-    on_result(store_answer{answer.result_int(), std::move(answer.body())});
+    on_result(store_answer{answer.result_int(), std::move(answer.body()),
+                           std::move(answer.base())});
 }
 
 } // namespace oriolefall::follow
--- a/oriolefall/follow/store_connection.hpp
+++ b/oriolefall/follow/store_connection.hpp
@@ -29,6 +29,7 @@
 {
     unsigned status = 0;
     std::string body;
+    http::fields header{};
 };
 
 /// No complete answer was received; the store may have executed the call.
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+store_duty::known_state::known_state(const collection_follower& follower)
+    : is_unreachable(follower.is_unreachable()), era(follower.view().era),
+      is_synced(follower.is_synced())
+{
+}
+
 /// A followed collection with its connection and timers.
 struct store_duty::followed_collection
 {
@@ -133,18 +139,17 @@
                                  const view_update& update)
 {
     const absl::Time now = core::monotonic_now();
-    std::vector<bool> was_unreachable;
-    std::ranges::transform(followed_collections_,
-                           std::back_inserter(was_unreachable),
+    std::vector<known_state> before;
+    std::ranges::transform(followed_collections_, std::back_inserter(before),
                            [](const auto& collection) {
-                               return collection->follower.is_unreachable();
+                               return known_state(collection->follower);
                            });
     const std::vector<std::string> changed = relay_->on_update(now, update);
     for (std::size_t i = 0; i < followed_collections_.size(); ++i) {
         followed_collection& collection = *followed_collections_[i];
         const bool has_changed =
             std::ranges::find(changed, collection.name) != changed.end();
-        report_changes(collection, was_unreachable[i], {}, has_changed);
+        report_changes(collection, before[i], {}, has_changed);
     }
 }
 
@@ -193,9 +198,11 @@
     path_connection_->call(
         request, [this, sent_at](const store_result& result) {
             is_checking_path_ = false;
-            if (shows_reachable_store(result))
-                for (const auto& collection : followed_collections_)
-                    collection->follower.on_path_confirmed(sent_at);
+            if (!shows_reachable_store(result))
+                return;
+            const auto era = protocol_.era(std::get<store_answer>(result));
+            for (const auto& collection : followed_collections_)
+                collection->follower.on_path_confirmed(sent_at, era);
         });
 }
 
@@ -243,26 +250,35 @@
 {
     const absl::Time now = core::monotonic_now();
     call_result read_result;
-    if (const auto* answer = std::get_if<store_answer>(&result))
+    std::optional<std::uint64_t> era;
+    if (const auto* answer = std::get_if<store_answer>(&result)) {
         read_result = protocol_.parse(call, *answer);
-    else
+        era = protocol_.era(*answer);
+    } else {
         read_result = call_failed{std::get<store_failure>(result).cause};
-    const bool was_unreachable = collection.follower.is_unreachable();
-    const bool has_changed = collection.follower.on_result(now, read_result);
+    }
+    const known_state before(collection.follower);
+    const bool has_changed =
+        collection.follower.on_result(now, read_result, era);
     const auto* failure = std::get_if<call_failed>(&read_result);
-    report_changes(collection, was_unreachable,
-                   failure != nullptr ? failure->cause : "", has_changed);
+    report_changes(collection, before, failure != nullptr ? failure->cause : "",
+                   has_changed);
 }
 
 void store_duty::report_changes(followed_collection& collection,
-                                bool was_unreachable, const std::string& cause,
-                                bool has_changed)
+                                const known_state& before,
+                                const std::string& cause, bool has_changed)
 {
     const bool is_unreachable = collection.follower.is_unreachable();
-    if (is_unreachable != was_unreachable)
+    if (is_unreachable != before.is_unreachable)
         hooks_.on_unreachable_changed(collection.name, is_unreachable, cause);
+    const collection_view& view = collection.follower.view();
+    if (before.is_synced && view.era != before.era) {
+        hooks_.on_restored(collection.name, view.era, view.lost_changes.size());
+        registration_.on_store_restored(view.era);
+    }
     if (has_changed)
-        hooks_.on_changed(collection.name, collection.follower.view());
+        hooks_.on_changed(collection.name, view);
     schedule_expiry(collection);
     start_next_call(collection);
 }
@@ -276,11 +292,14 @@
         std::max(due - core::monotonic_now(), absl::ZeroDuration());
     collection.expiry_timer.expires_after(
         absl::ToChronoMilliseconds(remaining) + std::chrono::milliseconds(1));
-    collection.expiry_timer.async_wait([this,
-                                        &collection](const error_code& error) {
-        if (!error && collection.follower.expire_stale(core::monotonic_now()))
-            hooks_.on_changed(collection.name, collection.follower.view());
-    });
+    collection.expiry_timer.async_wait(
+        [this, &collection](const error_code& error) {
+            if (error)
+                return;
+            if (collection.follower.expire(core::monotonic_now()))
+                hooks_.on_changed(collection.name, collection.follower.view());
+            schedule_expiry(collection);
+        });
 }
 
 void store_duty::leave()
--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -66,6 +66,11 @@
         on_changed;
     /// The listed collection was read completely.
     std::function<void(const std::vector<stored_object>&)> on_listed;
+    /// The store was restored from a copy; `lost_changes` known ones are not in
+    /// the new list of the collection.
+    std::function<void(const std::string& collection, std::uint64_t era,
+                       std::size_t lost_changes)>
+        on_restored;
     /// The store became unreachable or reachable again.
     std::function<void(const std::string& collection, bool is_unreachable,
                        const std::string& cause)>
@@ -103,6 +108,14 @@
 
 private:
     struct followed_collection;
+    /// Of a followed collection, to notice a change.
+    struct known_state
+    {
+        bool is_unreachable = false;
+        std::uint64_t era = 0;
+        bool is_synced = false;
+        explicit known_state(const collection_follower& follower);
+    };
     void process_events();
     void on(const relay_assignment& event);
     void on(const view_message_received& event);
@@ -115,8 +128,9 @@
     void check_path();
     [[nodiscard]] view_relay::named_followers named_followers() const;
     /// Tells the hooks what has changed, and goes on with the calls.
-    void report_changes(followed_collection& collection, bool was_unreachable,
-                        const std::string& cause, bool has_changed);
+    void report_changes(followed_collection& collection,
+                        const known_state& before, const std::string& cause,
+                        bool has_changed);
     void start_next_call(followed_collection& collection);
     void send_call(followed_collection& collection, const read_call& call);
     void on_result(followed_collection& collection, const read_call& call,
--- a/oriolefall/follow/store_protocol.hpp
+++ b/oriolefall/follow/store_protocol.hpp
@@ -4,7 +4,9 @@
 #include "oriolefall/follow/store_connection.hpp"
 #include "oriolefall/follow/stored_object.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,8 @@
     std::function<std::string(const read_call&)> target;
     /// Parses the answer to a read call.
     std::function<call_result(const read_call&, const store_answer&)> parse;
+    /// Era of the store, if the answer names it.
+    std::function<std::optional<std::uint64_t>(const store_answer&)> era;
     /// Calls that create or replace an object, to be made in order until one
     /// succeeds.
     std::function<std::vector<store_request>(const std::string& collection,
--- a/oriolefall/follow/view_relay.cpp
+++ b/oriolefall/follow/view_relay.cpp
@@ -61,7 +61,7 @@
     view_query query;
     query.query_id = next_query_id_++;
     for (const auto& [name, follower] : followers_)
-        query.collections.push_back({name, follower->revision()});
+        query.collections.push_back(follower->revision());
     sent_at_.emplace(query.query_id, now);
     if (sent_at_.size() > max_pending_queries)
         sent_at_.erase(sent_at_.begin());
@@ -78,7 +78,7 @@
         const auto found = followers_.find(asked.collection);
         if (found == followers_.end())
             continue;
-        auto known = found->second->update_since(now, asked.revision);
+        auto known = found->second->update_since(now, asked);
         bytes += value_bytes(known);
         if (bytes > settings_.max_update_bytes)
             break;
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -165,6 +165,13 @@
     hooks.on_relay_lost = [this](const std::string& collection) {
         log_.write("relay_lost", {{"collection", collection}});
     };
+    hooks.on_restored = [this](const std::string& collection, std::uint64_t era,
+                               std::size_t lost_changes) {
+        log_.write("store_restored",
+                   {{"collection", collection},
+                    {"era", std::to_string(era)},
+                    {"lost_changes", std::to_string(lost_changes)}});
+    };
     hooks.on_unreachable_changed = [this](const std::string& collection,
                                           bool away, const std::string& cause) {
         metrics_.set_store_unreachable(collection, away);
@@ -246,8 +253,10 @@
         return;
     }
     if (!routing::may_replace(
-            route_table_ ? &route_table_->settings() : nullptr, *parsed))
+            route_table_ ? &route_table_->settings() : nullptr, *parsed)) {
+        log_older_settings(parsed->version);
         return;
+    }
     limits_.set(std::make_shared<const routing::caller_limits>(parsed->limits));
     route_table_ =
         std::make_shared<const routing::route_table>(std::move(*parsed));
@@ -262,6 +271,15 @@
                 {"told", is_posted ? "yes" : "no"}});
 }
 
+void router::log_older_settings(std::uint64_t version)
+{
+    const std::uint64_t active = route_table_->settings().version;
+    if (version != active)
+        log_.write("older_settings_ignored",
+                   {{"version", std::to_string(version)},
+                    {"in_force", std::to_string(active)}});
+}
+
 void router::on_servers(const follow::collection_view& view)
 {
     dispatch::servers_changed change = server_reader_.read(view);
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -45,6 +45,8 @@
     [[nodiscard]] follow::store_duty_hooks store_hooks();
     [[nodiscard]] peer::control_hooks control_hooks();
     void on_settings(const follow::collection_view& view);
+    /// Logs that the store has other settings than those in force.
+    void log_older_settings(std::uint64_t version);
     void on_servers(const follow::collection_view& view);
     void on_instances(const std::vector<follow::stored_object>& objects);
     /// Removes the store objects of instances that have failed permanently.
--- a/oriolefall/router/server_reader.cpp
+++ b/oriolefall/router/server_reader.cpp
@@ -11,6 +11,8 @@
 dispatch::servers_changed
 server_reader::read(const follow::collection_view& view)
 {
+    if (std::exchange(era_, view.era) != view.era)
+        parsed_objects_.clear();
     std::vector<dispatch::server_entry> entries;
     dispatch::servers_changed change;
     parsed_map next;
@@ -22,8 +24,14 @@
         next.insert_or_assign(object.name, std::move(parsed));
         return is_server;
     };
-    for (const auto& [name, object] : view.objects)
-        add(object);
+    for (const auto& [name, object] : view.objects) {
+        const auto lost = view.lost_changes.find(name);
+        if (lost == view.lost_changes.end())
+            add(object);
+        else if (!lost->second.is_deleted && add(object) &&
+                 was_draining(lost->second, entries.back()))
+            entries.back().is_draining = true;
+    }
     for (const auto& [name, object] : view.stale)
         if (add(object))
             change.stale.emplace_back(name);
@@ -34,6 +42,14 @@
     return change;
 }
 
+bool server_reader::was_draining(const follow::object_change& lost,
+                                 const dispatch::server_entry& entry) const
+{
+    const auto before = parse_(lost.object);
+    return before && before->is_draining &&
+           before->started_at_ms == entry.started_at_ms;
+}
+
 server_reader::parsed_object
 server_reader::parse(const follow::stored_object& object)
 {
--- a/oriolefall/router/server_reader.hpp
+++ b/oriolefall/router/server_reader.hpp
@@ -14,7 +14,9 @@
 
 /// Converts store objects to backend servers. Parses an object only when its
 /// revision changes, as a change usually concerns one of thousands of objects.
-/// Not thread-safe.
+/// A store that was restored from a copy undoes no server's leaving: one that
+/// was removed is left out, one that was draining still is, until the lost
+/// change is made again or expires. Not thread-safe.
 class server_reader
 {
 public:
@@ -39,8 +41,14 @@
     /// the cache.
     [[nodiscard]] parsed_object parse(const follow::stored_object& object);
 
+    /// Whether this incarnation was draining before the store lost that change.
+    [[nodiscard]] bool was_draining(const follow::object_change& lost,
+                                    const dispatch::server_entry& entry) const;
+
     parse_hook parse_;
+    /// Of the era of the last view.
     parsed_map parsed_objects_;
+    std::uint64_t era_ = 0;
 };
 
 } // namespace oriolefall::router
--- a/tests/adapter/soak/schedule.cpp
+++ b/tests/adapter/soak/schedule.cpp
@@ -11,8 +11,9 @@
 
 constexpr std::size_t kinds = 32;
 constexpr std::size_t notice_kinds = 2;
+constexpr std::size_t restore_kinds = 1;
 constexpr std::size_t planned_kinds = 4;
-const std::array<const char*, kinds + notice_kinds> names{
+const std::array<const char*, kinds + notice_kinds + restore_kinds> names{
     "stop_instance",        "hang_up",
     "move_route",           "drain_server",
     "kill_instance",        "kill_all",
@@ -29,7 +30,8 @@
     "server_link_silenced", "server_link_cut_back",
     "caller_link_delayed",  "caller_link_reset",
     "caller_link_silenced", "caller_link_cut_forth",
-    "server_leaves",        "server_wants_quiet"};
+    "server_leaves",        "server_wants_quiet",
+    "store_restored"};
 
 constexpr unsigned targets = 60;
 constexpr std::uint64_t least_steps = 3;
@@ -38,6 +40,7 @@
 constexpr std::uint64_t time_spread_ms = 3000;
 constexpr std::uint64_t planned_each = 3;
 constexpr std::uint64_t most_notices = 3;
+constexpr std::uint64_t restored_each = 2;
 
 /// `count` steps of kinds from `first` on.
 std::vector<step> make_steps(std::mt19937_64& random, std::size_t count,
@@ -88,6 +91,12 @@
         make_steps(notices_random, 1 + notices_random() % most_notices, kinds,
                    notice_choices, length);
     steps.insert(steps.end(), notices.begin(), notices.end());
+    if (!is_planned_only(seed) && seed % restored_each == 0) {
+        std::mt19937_64 restore_random(seed * restored_each + 1);
+        const auto restores = make_steps(
+            restore_random, 1, kinds + notice_kinds, restore_kinds, length);
+        steps.insert(steps.end(), restores.begin(), restores.end());
+    }
     std::ranges::sort(steps);
     return steps;
 }
--- a/tests/adapter/soak/schedule.hpp
+++ b/tests/adapter/soak/schedule.hpp
@@ -52,7 +52,9 @@
     caller_link_cut_forth,
     // What backend servers say of themselves.
     server_leaves,
-    server_wants_quiet
+    server_wants_quiet,
+    /// The store comes back from a copy.
+    store_restored
 };
 
 /// One disruption of a soak.
@@ -70,7 +72,7 @@
 
 /// The same for each seed. Every third seed has planned work only; the others
 /// mix everything, in series and overlapping. What servers say of themselves
-/// comes with all seeds.
+/// comes with all seeds, a restore of the store with half of the mixed ones.
 std::vector<step> make_schedule(std::uint64_t seed,
                                 std::chrono::milliseconds length);
 bool is_planned_only(std::uint64_t seed);
--- a/tests/adapter/soak/soak.cpp
+++ b/tests/adapter/soak/soak.cpp
@@ -249,7 +249,8 @@
         world_.move_routes();
     } else if (wanted.what == disruption::drain_server) {
         co_await world_.drain_server(wanted.target);
-    } else if (wanted.what <= disruption::store_forgets) {
+    } else if (wanted.what <= disruption::store_forgets ||
+               wanted.what == disruption::store_restored) {
         co_await disturb_store(wanted);
     } else if (wanted.what >= disruption::server_leaves ||
                (wanted.what >= disruption::server_crashes &&
@@ -306,6 +307,10 @@
         co_return;
     }
     excuse_all(wanted);
+    if (wanted.what == disruption::store_restored) {
+        co_await world_.restore_store(wanted.lasts);
+        co_return;
+    }
     world_.store().set_fault(store_fault_of(wanted.what));
     co_await pause(wanted.lasts);
     world_.store().set_fault(store_fault::none);
--- a/tests/adapter/soak/store_server.cpp
+++ b/tests/adapter/soak/store_server.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace oriolefall::soak {
@@ -102,6 +104,34 @@
     wake();
 }
 
+void store_server::copy()
+{
+    copied_objects_ = objects_;
+    copied_revision_ = revision_;
+}
+
+void store_server::restore()
+{
+    objects_ = copied_objects_;
+    revision_ = copied_revision_;
+    history_from_ = std::min(history_from_, revision_);
+    std::erase_if(history_, [this](const change& each) {
+        return each.revision > revision_;
+    });
+    ++era_;
+    wake();
+}
+
+std::vector<std::string> store_server::names_of(const std::string& kind) const
+{
+    std::vector<std::string> names;
+    const auto found = objects_.find(kind);
+    if (found != objects_.end())
+        std::ranges::copy(found->second | std::views::keys,
+                          std::back_inserter(names));
+    return names;
+}
+
 void store_server::wake()
 {
     for (asio::steady_timer* each : waiting_)
@@ -139,6 +169,7 @@
         std::optional<response> made = co_await answer(asked);
         if (!made)
             co_return;
+        made->set("Store-Era", std::to_string(era_));
         co_await http::async_write(socket, *made, into(error));
         if (error)
             co_return;
@@ -224,7 +255,10 @@
 {
     const auto until = clock::now() + wait;
     json events = events_since(kind, from);
-    while (events.empty() && from >= history_from_ && clock::now() < until &&
+    const auto is_known = [this, from] {
+        return from >= history_from_ && from <= revision_;
+    };
+    while (events.empty() && is_known() && clock::now() < until &&
            fault_ == store_fault::none) {
         asio::steady_timer timer(context_, until);
         waiting_.insert(&timer);
@@ -233,7 +267,7 @@
         waiting_.erase(&timer);
         events = events_since(kind, from);
     }
-    if (from < history_from_)
+    if (!is_known())
         co_return make_answer(http::status::gone, {});
     co_return make_answer(http::status::ok,
                           {{"events", events}, {"at", revision_}});
--- a/tests/adapter/soak/store_server.hpp
+++ b/tests/adapter/soak/store_server.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace oriolefall::soak {
 
@@ -46,6 +47,13 @@
     void set_fault(store_fault fault);
     /// Drops what watches could be answered from.
     void forget_history();
+    /// Makes a copy of all objects.
+    void copy();
+    /// Goes back to the copy: what was written since is lost, and its revisions
+    /// are given out again.
+    void restore();
+    [[nodiscard]] std::vector<std::string>
+    names_of(const std::string& kind) const;
 
 private:
     using json = nlohmann::json;
@@ -84,6 +92,9 @@
     std::uint64_t history_from_ = 100;
     std::map<std::string, std::map<std::string, json>> objects_;
     std::deque<change> history_;
+    std::uint64_t era_ = 1;
+    std::map<std::string, std::map<std::string, json>> copied_objects_;
+    std::uint64_t copied_revision_ = 100;
 };
 
 } // namespace oriolefall::soak
--- a/tests/adapter/soak/work_server.cpp
+++ b/tests/adapter/soak/work_server.cpp
@@ -58,6 +58,11 @@
     is_leaving_ = true;
 }
 
+bool work_server::is_running() const
+{
+    return acceptor_ != nullptr;
+}
+
 void work_server::crash()
 {
     acceptor_.reset();
--- a/tests/adapter/soak/work_server.hpp
+++ b/tests/adapter/soak/work_server.hpp
@@ -59,6 +59,7 @@
     void set_leaving();
     /// Ends at once: all connections are reset, nothing listens.
     void crash();
+    [[nodiscard]] bool is_running() const;
 
 private:
     using request = http::request<http::string_body>;
--- a/tests/adapter/soak/world.cpp
+++ b/tests/adapter/soak/world.cpp
@@ -1,5 +1,6 @@
 #include "tests/adapter/soak/world.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace oriolefall::soak {
@@ -13,6 +14,10 @@
 constexpr milliseconds start_time{500};
 /// Until the store drops the entry of a server that says nothing.
 constexpr milliseconds entry_lifetime{3600};
+/// For which a store that is restored from a copy is away.
+constexpr milliseconds restore_time{700};
+/// Until all is written again that the store has lost.
+constexpr milliseconds rewrite_time{1000};
 constexpr unsigned slots = 16;
 /// Versions increase in uneven steps.
 constexpr std::uint64_t version_step = 3;
@@ -72,6 +77,13 @@
 void world::write_settings()
 {
     version_ += version_step;
+    put_settings();
+    for (const char* path : {"/lookup/item", "/book/item"})
+        seen_.note_moved(path, plain_service_, clock::now());
+}
+
+void world::put_settings()
+{
     json models = service("models");
     models["engine"] = {
         {"capacity", slots}, {"kvCapacity", 100000}, {"stride", 1}};
@@ -93,8 +105,6 @@
           {{{"name", workspace_name},
             {"apiKeys", {api_key}},
             {"priority", 1}}}}});
-    for (const char* path : {"/lookup/item", "/book/item"})
-        seen_.note_moved(path, plain_service_, clock::now());
 }
 
 void world::move_routes()
@@ -122,8 +132,9 @@
     write_entry(at, "ready");
 }
 
-void world::write_entry(const place& at, const std::string& state)
+void world::write_entry(place& at, const std::string& state)
 {
+    at.state = state;
     store_.put("servers", at.server->settings().id,
                {{"service", at.service},
                 {"address", "127.0.0.1:" + std::to_string(at.link->port())},
@@ -174,6 +185,32 @@
     store_.erase("servers", gone);
 }
 
+task<void> world::restore_store(milliseconds copy_age)
+{
+    store_.copy();
+    co_await pause(copy_age);
+    store_.set_fault(store_fault::resets);
+    co_await pause(restore_time);
+    store_.restore();
+    store_.set_fault(store_fault::none);
+    co_await pause(rewrite_time);
+    put_settings();
+    for (place& each : places_)
+        if (each.server->is_running())
+            write_entry(each, each.state);
+    co_await pause(entry_lifetime - rewrite_time);
+    erase_lapsed();
+}
+
+void world::erase_lapsed()
+{
+    for (const std::string& name : store_.names_of("servers"))
+        if (std::ranges::none_of(places_, [&name](const place& each) {
+                return each.server->settings().id == name;
+            }))
+            store_.erase("servers", name);
+}
+
 task<void> world::spoil_server(unsigned target, server_fault fault,
                                milliseconds lasts)
 {
--- a/tests/adapter/soak/world.hpp
+++ b/tests/adapter/soak/world.hpp
@@ -37,6 +37,9 @@
     /// it drains after this time.
     task<void> leave_server(unsigned target, milliseconds unlisted);
     task<void> crash_server(unsigned target, milliseconds away);
+    /// The store goes back to what it is now after this time, and is away for a
+    /// moment. The operator and the servers write again what it has lost.
+    task<void> restore_store(milliseconds copy_age);
     task<void> spoil_server(unsigned target, server_fault fault,
                             milliseconds lasts);
     task<void> spoil_link(unsigned target, link_fault fault,
@@ -49,12 +52,17 @@
         std::string zone;
         std::shared_ptr<work_server> server;
         std::shared_ptr<proxy> link;
+        /// As its server last wrote it.
+        std::string state{};
         bool is_changing = false;
     };
 
     void write_settings();
+    void put_settings();
     void start_server(place& at);
-    void write_entry(const place& at, const std::string& state);
+    void write_entry(place& at, const std::string& state);
+    /// Removes the entries of servers that are gone.
+    void erase_lapsed();
 
     asio::io_context& context_;
     ledger& seen_;
--- a/tests/follow/collection_follower_test.cpp
+++ b/tests/follow/collection_follower_test.cpp
@@ -138,8 +138,8 @@
     follower.on_result(recovered_at, deletion("a", 12));
     cr_assert_eq(follower.next_expiry(),
                  recovered_at + settings().stale_timeout);
-    cr_assert_not(follower.expire_stale(recovered_at + absl::Seconds(1)));
-    cr_assert(follower.expire_stale(recovered_at + settings().stale_timeout));
+    cr_assert_not(follower.expire(recovered_at + absl::Seconds(1)));
+    cr_assert(follower.expire(recovered_at + settings().stale_timeout));
     cr_assert(follower.view().stale.empty());
 }
 
--- a/tests/follow/own_registration_test.cpp
+++ b/tests/follow/own_registration_test.cpp
@@ -92,6 +92,7 @@
         made.parse = [listed](const read_call&, const store_answer&) {
             return list_page{listed, false, 9};
         };
+        made.era = [](const store_answer&) { return std::nullopt; };
         made.put = [](const std::string&, const std::string& name,
                       const std::string& value) {
             return std::vector<store_request>{
@@ -147,3 +148,14 @@
     instance.run_until_lists(6);
     cr_assert_geq(instance.store.count("POST /edge-1"), 2);
 }
+
+// What was written last is gone, and lists may still be older than the write.
+Test(own_registration, the_own_object_is_written_again_after_a_restore)
+{
+    registering_instance instance({});
+    instance.run_until_lists(2);
+    cr_assert_eq(instance.store.count("POST /edge-1"), 1);
+    instance.registration.on_store_restored(2);
+    instance.run_until_lists(4);
+    cr_assert_eq(instance.store.count("POST /edge-1"), 2);
+}
--- a/tests/follow/view_relay_test.cpp
+++ b/tests/follow/view_relay_test.cpp
@@ -137,11 +137,11 @@
     watcher.on_result(
         start,
         change_list{{{object("a", 11), false}, {{"b", 12, {}}, true}}, 12});
-    const auto update = watcher.update_since(start, 10);
+    const auto update = watcher.update_since(start, {servers, 10});
     cr_assert_not(update.is_snapshot);
     cr_assert(follower.on_relayed(start, start, update));
     cr_assert_eq(follower.view(), watcher.view());
-    cr_assert_eq(follower.revision(), 12);
+    cr_assert_eq(follower.revision().revision, 12);
 }
 
 Test(view_relay, a_confirmed_follower_makes_no_calls)
@@ -176,7 +176,7 @@
 {
     auto follower = synced(relay_role::follower, {object("a", 12)}, 12);
     const auto late = synced(relay_role::watcher, {object("a", 9)}, 10)
-                          .update_since(start, 0);
+                          .update_since(start, {servers, 0});
     cr_assert_not(follower.on_relayed(start, start, late));
     cr_assert_eq(follower.view().objects.at("a").revision, 12);
     cr_assert_eq(follower.confirmed_at(), absl::InfinitePast());
@@ -236,12 +236,14 @@
 Test(view_relay, a_pending_watch_is_confirmed_by_checks_of_the_path)
 {
     auto watcher = synced(relay_role::watcher, {object("a", 1)}, 10);
-    cr_assert_eq(watcher.update_since(start, 10).age, absl::InfiniteDuration());
+    cr_assert_eq(watcher.update_since(start, {servers, 10}).age,
+                 absl::InfiniteDuration());
     watcher.on_call_started(start);
     const absl::Time checked = start + absl::Seconds(5);
     watcher.on_path_confirmed(checked);
-    cr_assert_eq(watcher.update_since(checked + absl::Seconds(1), 10).age,
-                 absl::Seconds(1));
+    cr_assert_eq(
+        watcher.update_since(checked + absl::Seconds(1), {servers, 10}).age,
+        absl::Seconds(1));
     watcher.on_result(checked, call_failed{"reset"});
     watcher.on_path_confirmed(checked + absl::Seconds(1));
     cr_assert_eq(watcher.confirmed_at(), checked);
@@ -269,7 +271,7 @@
 {
     auto watcher = synced(relay_role::watcher, {object("a", 20)}, 20);
     auto follower = synced(relay_role::follower, {object("gone", 5)}, 10);
-    const auto update = watcher.update_since(start, 10);
+    const auto update = watcher.update_since(start, {servers, 10});
     cr_assert(update.is_snapshot);
     cr_assert(follower.on_relayed(start, start, update));
     cr_assert_eq(follower.view(), watcher.view());
@@ -283,7 +285,7 @@
     const absl::Time back = start + absl::Seconds(1);
     watcher.on_result(back, change_list{{{{"a", 11, {}}, true}}, 11});
     const absl::Time now = back + absl::Milliseconds(300);
-    follower.on_relayed(now, now, watcher.update_since(now, 10));
+    follower.on_relayed(now, now, watcher.update_since(now, {servers, 10}));
     cr_assert(follower.view().objects.empty());
     cr_assert(follower.view().stale.contains("a"));
 }
@@ -332,12 +334,13 @@
             return std::string(1, *rc::gen::inRange('a', 'f'));
         };
         const auto check = [&](instance& each, std::uint64_t before) {
-            RC_ASSERT(each.follower.revision() >= before);
+            RC_ASSERT(each.follower.revision().revision >= before);
             const absl::Time confirmed = each.follower.confirmed_at();
             if (confirmed < start)
                 return;
             const auto newest = std::prev(history.upper_bound(confirmed));
-            const auto changes = store.changes_since(each.follower.revision());
+            const auto changes =
+                store.changes_since(each.follower.revision().revision);
             for (const object_change& change : changes.changes)
                 RC_ASSERT(change.object.revision > newest->second);
         };
@@ -346,7 +349,7 @@
             now += absl::Milliseconds(*rc::gen::inRange(1, 400));
             const std::size_t chosen = *rc::gen::inRange<std::size_t>(0, 4);
             instance& each = fleet[chosen];
-            const std::uint64_t before = each.follower.revision();
+            const std::uint64_t before = each.follower.revision().revision;
             switch (*rc::gen::inRange(0, 7)) {
             case 0:
                 store.put(name());
@@ -379,7 +382,7 @@
                     in_flight.erase(in_flight.begin() +
                                     static_cast<std::ptrdiff_t>(index));
                     instance& receiver = fleet[arrived.to];
-                    const auto known = receiver.follower.revision();
+                    const auto known = receiver.follower.revision().revision;
                     receiver.relay.on_update(now, arrived.update);
                     check(receiver, known);
                 }
@@ -396,7 +399,7 @@
         }
         for (instance& each : fleet) {
             each.follower.on_result(
-                now, store.changes_since(each.follower.revision()));
+                now, store.changes_since(each.follower.revision().revision));
             RC_ASSERT(revisions_of(each.follower.view()) == store.objects());
         }
     });
@@ -432,7 +435,7 @@
     cr_assert_not(follower.is_synced());
     const auto [call, call_at] = follower.next_call();
     cr_assert(std::get<list_call>(call).may_be_stale);
-    cr_assert_eq(call_at, start + first.empty_list_delay);
+    cr_assert_eq(call_at, start + first.relist_delay);
     cr_assert(
         follower.on_result(call_at, list_page{{object("a", 11)}, false, 11}));
     cr_assert(follower.is_synced());
--- a/tests/peer/any_message.cpp
+++ b/tests/peer/any_message.cpp
@@ -89,16 +89,18 @@
     update.changes = any_list<follow::object_change>(any_object_change);
     update.age = any_age();
     update.reachable_for = any_age();
+    update.era = any();
     return update;
 }
 
 message any_view_message(int kind)
 {
     if (kind == 0)
-        return follow::view_query{
-            any(), any_list<follow::collection_revision>([] {
-                return follow::collection_revision{any<std::string>(), any()};
-            })};
+        return follow::view_query{any(),
+                                  any_list<follow::collection_revision>([] {
+                                      return follow::collection_revision{
+                                          any<std::string>(), any(), any()};
+                                  })};
     return follow::view_update{
         any(), any_list<follow::collection_update>(any_collection_update)};
 }
--- a/tests/router/server_reader_test.cpp
+++ b/tests/router/server_reader_test.cpp
@@ -70,3 +70,52 @@
     cr_assert_eq(change.stale.front(), core::backend_server_id("b"));
     cr_assert_eq(reader.parse_count, 2);
 }
+
+// ROUTE: a revision that the restored store gives out again names another
+// object than before.
+Test(server_reader, parses_anew_when_the_store_was_restored)
+{
+    counting_reader reader;
+    follow::collection_view view;
+    view.objects = {{"a", make_object("a", 1)}};
+    static_cast<void>(reader.subject.read(view));
+    view.era = 1;
+    static_cast<void>(reader.subject.read(view));
+    cr_assert_eq(reader.parse_count, 2);
+    static_cast<void>(reader.subject.read(view));
+    cr_assert_eq(reader.parse_count, 2);
+}
+
+// DRAIN: a server that was known to leave was called again, as the store had
+// gone back to a time before.
+Test(server_reader, a_restored_store_undoes_no_leaving)
+{
+    using follow::object_change;
+    const auto parse = [](const follow::stored_object& object) {
+        dispatch::server_entry entry;
+        entry.id = core::backend_server_id(object.name);
+        entry.is_draining = object.value.starts_with("draining");
+        entry.started_at_ms = object.value.ends_with("again") ? 2 : 1;
+        return std::optional(entry);
+    };
+    router::server_reader subject(parse);
+    follow::collection_view view;
+    view.objects = {{"gone", {"gone", 1, "ready"}},
+                    {"leaving", {"leaving", 1, "ready"}},
+                    {"restarted", {"restarted", 1, "ready again"}},
+                    {"warm", {"warm", 1, "ready"}}};
+    view.lost_changes = {
+        {"gone", object_change{{"gone", 9, ""}, true}},
+        {"leaving", object_change{{"leaving", 9, "draining"}, false}},
+        {"restarted", object_change{{"restarted", 9, "draining"}, false}},
+        {"warm", object_change{{"warm", 9, "ready, warm"}, false}}};
+    const auto lost = *subject.read(view).servers;
+    cr_assert_eq(lost.size(), 3);
+    cr_assert(lost[0].is_draining);
+    cr_assert_not(lost[1].is_draining);
+    cr_assert_not(lost[2].is_draining);
+    view.lost_changes.clear();
+    const auto remade = *subject.read(view).servers;
+    cr_assert_eq(remade.size(), 4);
+    cr_assert_not(remade[1].is_draining);
+}
