tests: the schedules of the relay have watches that stay pending

The step that checks the path to the store met no pending watch, and so never confirmed anything. Watches now stay pending until the store changes. With the check of a pending watch taken out of the follower the property fails.

--- a/tests/follow/view_relay_test.cpp
+++ b/tests/follow/view_relay_test.cpp
@@ -105,8 +105,29 @@
     {
     }
 
+    /// Sends a watch if one is due. It is answered at once where there are
+    /// changes, and otherwise stays pending.
+    void watch(absl::Time now, const model_store& store)
+    {
+        if (is_watching || follower.next_call().second > now)
+            return;
+        follower.on_call_started(now);
+        is_watching = true;
+        answer_watch(now, store);
+    }
+
+    void answer_watch(absl::Time now, const model_store& store)
+    {
+        auto changes = store.changes_since(follower.revision().revision);
+        if (!is_watching || changes.changes.empty())
+            return;
+        is_watching = false;
+        follower.on_result(now, std::move(changes));
+    }
+
     collection_follower follower;
     view_relay relay;
+    bool is_watching = false;
 };
 
 /// A peer that knows the collection up to revision 10 says that the store had
@@ -360,8 +381,7 @@
                 history[now] = store.revision();
                 break;
             case 2:
-                if (each.follower.next_call().second <= now)
-                    each.follower.on_result(now, store.changes_since(before));
+                each.watch(now, store);
                 break;
             case 6:
                 each.follower.on_path_confirmed(now);
@@ -391,6 +411,8 @@
                 if (!in_flight.empty())
                     in_flight.pop_back();
             }
+            for (instance& watching : fleet)
+                watching.answer_watch(now, store);
             check(each, before);
             const auto limits = settings(relay_role::follower);
             if (now - each.follower.confirmed_at() > limits.relay_timeout)
