--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -3,7 +3,6 @@
 #include "oriolefall/follow/lost_changes.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace oriolefall::follow {
 
@@ -36,87 +35,11 @@
     return {watch, std::max(next_call_at_, next_fallback())};
 }
 
-absl::Time collection_follower::next_fallback() const
-{
-    return std::max(confirmed_at_ + settings_.relay_timeout,
-                    synced_at_ + settings_.initial_relay_timeout);
-}
-
 void collection_follower::set_role(relay_role role)
 {
     role_ = role;
 }
 
-void collection_follower::on_path_confirmed(
-    absl::Time sent_at, std::optional<std::uint64_t> named_era)
-{
-    if (role_ == relay_role::watcher && !is_listing_ && !is_unreachable_ &&
-        named_era.value_or(view_.era) == view_.era &&
-        call_started_at_ <= sent_at)
-        confirmed_at_ = std::max(confirmed_at_, sent_at);
-}
-
-bool collection_follower::on_relayed(absl::Time now, absl::Time asked_at,
-                                     const collection_update& update)
-{
-    const bool is_same_era = update.era == view_.era;
-    // A peer that lacks a change which is known here confirms nothing.
-    if (update.era < view_.era ||
-        (is_same_era && update.revision < last_change_revision_))
-        return false;
-    const bool follows_view =
-        is_synced_ && is_same_era && update.from_revision <= watch_revision_;
-    if (!update.is_snapshot && !follows_view)
-        return false;
-    if (update.reachable_for < absl::InfiniteDuration())
-        reachable_since_ =
-            std::max(reachable_since_, now - update.reachable_for);
-    bool has_changed = false;
-    if (!is_same_era || update.revision > watch_revision_) {
-        has_changed = update.is_snapshot
-                          ? apply_snapshot(now, update)
-                          : apply(now, update.changes, update.revision);
-        watch_revision_ = update.revision;
-        is_listing_ = false;
-    }
-    const absl::Time confirmed_at = asked_at - update.age;
-    confirmed_at_ = std::max(confirmed_at_, confirmed_at);
-    if (role_ == relay_role::follower &&
-        now - confirmed_at < settings_.relay_timeout)
-        record_answer(now);
-    return has_changed;
-}
-
-collection_update
-collection_follower::update_since(absl::Time now,
-                                  const collection_revision& known) const
-{
-    collection_update update;
-    update.collection = settings_.collection;
-    update.from_revision = known.revision;
-    update.revision = watch_revision_;
-    update.era = view_.era;
-    if (!is_synced_ || known.era > view_.era)
-        return update;
-    update.age = now - confirmed_at_;
-    update.reachable_for = now - reachable_since_;
-    const bool is_same_era = known.era == view_.era;
-    if (is_same_era && known.revision >= watch_revision_)
-        return update;
-    update.is_snapshot = !is_same_era || !deletions_.covers(known.revision);
-    for (const auto& [name, object] : view_.objects)
-        if (update.is_snapshot || object.revision > known.revision)
-            update.changes.push_back({object, false});
-    if (!update.is_snapshot)
-        std::ranges::copy_if(deletions_.since(known.revision),
-                             std::back_inserter(update.changes),
-                             [this](const object_change& deletion) {
-                                 return !view_.objects.contains(
-                                     deletion.object.name);
-                             });
-    return update;
-}
-
 void collection_follower::on_call_started(absl::Time now)
 {
     call_started_at_ = now;
@@ -331,17 +254,6 @@
     return has_changed;
 }
 
-bool collection_follower::apply_snapshot(absl::Time now,
-                                         const collection_update& update)
-{
-    listed_.clear();
-    for (const object_change& change : update.changes)
-        listed_.insert_or_assign(change.object.name, change.object);
-    list_revision_ = update.revision;
-    list_era_ = update.era;
-    return finish_list(now);
-}
-
 void collection_follower::on_failure(absl::Time now)
 {
     is_unreachable_ = true;
