--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -43,33 +43,33 @@
 void collection_follower::on_call_started(absl::Time now)
 {
     call_started_at_ = now;
-    call_era_ = view_.era;
+    call_epoch_ = view_.epoch;
 }
 
 bool collection_follower::on_result(absl::Time now, const call_result& result,
-                                    std::optional<std::uint64_t> named_era)
+                                    std::optional<std::uint64_t> named_epoch)
 {
-    const std::uint64_t era = named_era.value_or(view_.era);
+    const std::uint64_t epoch = named_epoch.value_or(view_.epoch);
     call_started_at_ = absl::InfiniteFuture();
     if (std::holds_alternative<call_failed>(result)) {
         on_failure(now);
         return false;
     }
     record_answer(now);
-    if (era < view_.era) {
+    if (epoch < view_.epoch) {
         if (is_listing_)
             restart_list();
         next_call_at_ = now + settings_.relist_delay;
         return false;
     }
     if (const auto* page = std::get_if<list_page>(&result))
-        return on_page(now, *page, era);
-    if (era > view_.era) {
+        return on_page(now, *page, epoch);
+    if (epoch > view_.epoch) {
         restart_list();
         return false;
     }
-    // The call was made in an earlier era than the one that a peer told of.
-    if (call_era_ != view_.era)
+    // The call was made in an earlier epoch than the one that a peer told of.
+    if (call_epoch_ != view_.epoch)
         return false;
     if (const auto* changes = std::get_if<change_list>(&result))
         return on_changes(now, *changes);
@@ -122,7 +122,7 @@
 
 collection_revision collection_follower::revision() const
 {
-    return {settings_.collection, watch_revision_, view_.era};
+    return {settings_.collection, watch_revision_, view_.epoch};
 }
 
 void collection_follower::record_answer(absl::Time now)
@@ -142,15 +142,15 @@
 }
 
 bool collection_follower::on_page(absl::Time now, const list_page& page,
-                                  std::uint64_t era)
+                                  std::uint64_t epoch)
 {
     if (!is_listing_)
         return false;
     // Pages may have different revisions; the watch starts from the first one.
     if (list_cursor_.empty()) {
         list_revision_ = page.revision;
-        list_era_ = era;
-    } else if (era != list_era_) {
+        list_epoch_ = epoch;
+    } else if (epoch != list_epoch_) {
         restart_list();
         return false;
     }
@@ -179,8 +179,8 @@
 bool collection_follower::finish_list(absl::Time now)
 {
     const collection_view before = view_;
-    if (list_era_ != view_.era)
-        begin_era(now);
+    if (list_epoch_ != view_.epoch)
+        begin_epoch(now);
     std::vector<std::string> removed;
     for (const auto& [name, object] : view_.objects)
         if (!listed_.contains(name))
@@ -201,7 +201,7 @@
     return is_first || view_ != before;
 }
 
-void collection_follower::begin_era(absl::Time now)
+void collection_follower::begin_epoch(absl::Time now)
 {
     // Of several restores the changes lost by the first may still be missing.
     view_.lost_changes.merge(
@@ -210,7 +210,7 @@
         if (!listed_.contains(name))
             view_.stale.insert_or_assign(name, std::move(object));
     view_.objects.clear();
-    view_.era = list_era_;
+    view_.epoch = list_epoch_;
     watch_revision_ = 0;
     last_change_revision_ = 0;
     deletions_.restart(list_revision_);
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -69,16 +69,16 @@
     /// The last known changes that the store no longer has, since it was
     /// restored from a copy. Their writers may make them again.
     std::map<std::string, object_change> lost_changes;
-    /// Counts the restores of the store. Revisions of one era say nothing about
-    /// those of another.
-    std::uint64_t era = 0;
+    /// Counts the restores of the store. Revisions of one epoch say nothing
+    /// about those of another.
+    std::uint64_t epoch = 0;
     auto operator<=>(const collection_view&) const = default;
 };
 
 /// Tracks one collection by list and watch, or by what peers relay. A state
 /// machine without I/O or clock. An older revision never replaces a newer one
-/// of the same era; when the store was restored, the collection is listed anew,
-/// and what is known of an earlier era replaces nothing.
+/// of the same epoch; when the store was restored, the collection is listed
+/// anew, and what is known of an earlier epoch replaces nothing.
 ///
 /// A view that peers relay is confirmed as of the time at which a watching
 /// instance had it confirmed by the store. Without a recent confirmation the
@@ -92,15 +92,15 @@
     [[nodiscard]] std::pair<read_call, absl::Time> next_call() const;
     /// That call was sent.
     void on_call_started(absl::Time now);
-    /// Processes the result of that call. `named_era` is the one that the
+    /// Processes the result of that call. `named_epoch` is the one that the
     /// answer names, if any. Returns whether the view changed.
     bool on_result(absl::Time now, const call_result& result,
-                   std::optional<std::uint64_t> named_era = {});
+                   std::optional<std::uint64_t> named_epoch = {});
     void set_role(relay_role role);
     /// The store has answered a call that was sent at `sent_at`, so that a
     /// pending watch would have reported changes made before.
     void on_path_confirmed(absl::Time sent_at,
-                           std::optional<std::uint64_t> named_era = {});
+                           std::optional<std::uint64_t> named_epoch = {});
     /// Processes what a peer knows; its age was known at `asked_at` or later.
     /// Returns whether the view changed.
     bool on_relayed(absl::Time now, absl::Time asked_at,
@@ -126,7 +126,7 @@
     [[nodiscard]] collection_revision revision() const;
 
 private:
-    bool on_page(absl::Time now, const list_page& page, std::uint64_t era);
+    bool on_page(absl::Time now, const list_page& page, std::uint64_t epoch);
     bool on_changes(absl::Time now, const change_list& changes);
     void on_failure(absl::Time now);
     void record_answer(absl::Time now);
@@ -135,9 +135,9 @@
     /// servers are better than none while hundreds of pages are read.
     bool apply_initial_page(const list_page& page);
     bool finish_list(absl::Time now);
-    /// Turns to the era of the list: keeps nothing of the earlier one but what
-    /// the writers may store again.
-    void begin_era(absl::Time now);
+    /// Turns to the epoch of the list: keeps nothing of the earlier one but
+    /// what the writers may store again.
+    void begin_epoch(absl::Time now);
     bool apply(absl::Time now, const std::vector<object_change>& changes,
                std::uint64_t known_at);
     bool apply_snapshot(absl::Time now, const collection_update& update);
@@ -153,10 +153,10 @@
     std::map<std::string, stored_object> listed_;
     std::string list_cursor_;
     std::uint64_t list_revision_ = 0;
-    std::uint64_t list_era_ = 0;
+    std::uint64_t list_epoch_ = 0;
     std::uint64_t watch_revision_ = 0;
     /// Era of the view when the pending call was sent.
-    std::uint64_t call_era_ = 0;
+    std::uint64_t call_epoch_ = 0;
     /// Highest revision of a change that was applied.
     std::uint64_t last_change_revision_ = 0;
     deletion_log deletions_;
--- a/oriolefall/follow/collection_follower_relay.cpp
+++ b/oriolefall/follow/collection_follower_relay.cpp
@@ -13,10 +13,10 @@
 }
 
 void collection_follower::on_path_confirmed(
-    absl::Time sent_at, std::optional<std::uint64_t> named_era)
+    absl::Time sent_at, std::optional<std::uint64_t> named_epoch)
 {
     if (role_ == relay_role::watcher && !is_listing_ && !is_unreachable_ &&
-        named_era.value_or(view_.era) == view_.era &&
+        named_epoch.value_or(view_.epoch) == view_.epoch &&
         call_started_at_ <= sent_at)
         confirmed_at_ = std::max(confirmed_at_, sent_at);
 }
@@ -24,20 +24,20 @@
 bool collection_follower::on_relayed(absl::Time now, absl::Time asked_at,
                                      const collection_update& update)
 {
-    const bool is_same_era = update.era == view_.era;
+    const bool is_same_epoch = update.epoch == view_.epoch;
     // A peer that lacks a change which is known here confirms nothing.
-    if (update.era < view_.era ||
-        (is_same_era && update.revision < last_change_revision_))
+    if (update.epoch < view_.epoch ||
+        (is_same_epoch && update.revision < last_change_revision_))
         return false;
     const bool follows_view =
-        is_synced_ && is_same_era && update.from_revision <= watch_revision_;
+        is_synced_ && is_same_epoch && update.from_revision <= watch_revision_;
     if (!update.is_snapshot && !follows_view)
         return false;
     if (update.reachable_for < absl::InfiniteDuration())
         reachable_since_ =
             std::max(reachable_since_, now - update.reachable_for);
     bool has_changed = false;
-    if (!is_same_era || update.revision > watch_revision_) {
+    if (!is_same_epoch || update.revision > watch_revision_) {
         has_changed = update.is_snapshot
                           ? apply_snapshot(now, update)
                           : apply(now, update.changes, update.revision);
@@ -60,15 +60,15 @@
     update.collection = settings_.collection;
     update.from_revision = known.revision;
     update.revision = watch_revision_;
-    update.era = view_.era;
-    if (!is_synced_ || known.era > view_.era)
+    update.epoch = view_.epoch;
+    if (!is_synced_ || known.epoch > view_.epoch)
         return update;
     update.age = now - confirmed_at_;
     update.reachable_for = now - reachable_since_;
-    const bool is_same_era = known.era == view_.era;
-    if (is_same_era && known.revision >= watch_revision_)
+    const bool is_same_epoch = known.epoch == view_.epoch;
+    if (is_same_epoch && known.revision >= watch_revision_)
         return update;
-    update.is_snapshot = !is_same_era || !deletions_.covers(known.revision);
+    update.is_snapshot = !is_same_epoch || !deletions_.covers(known.revision);
     for (const auto& [name, object] : view_.objects)
         if (update.is_snapshot || object.revision > known.revision)
             update.changes.push_back({object, false});
@@ -89,7 +89,7 @@
     for (const object_change& change : update.changes)
         listed_.insert_or_assign(change.object.name, change.object);
     list_revision_ = update.revision;
-    list_era_ = update.era;
+    list_epoch_ = update.epoch;
     return finish_list(now);
 }
 
--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -60,7 +60,7 @@
                                         ? protocol_.parse(call, *answer)
                                         : call_result(call_failed{"no answer"});
     const auto* page = std::get_if<list_page>(&read_result);
-    if (page == nullptr || protocol_.era(*answer).value_or(era_) < era_) {
+    if (page == nullptr || protocol_.epoch(*answer).value_or(epoch_) < epoch_) {
         list_cursor_.clear();
         listed_objects_.clear();
         schedule_list(settings_.retry_delay);
@@ -116,9 +116,9 @@
     });
 }
 
-void own_registration::on_store_restored(std::uint64_t era)
+void own_registration::on_store_restored(std::uint64_t epoch)
 {
-    era_ = std::max(era_, era);
+    epoch_ = std::max(epoch_, epoch);
     is_written_ = false;
     if (is_list_scheduled_ && !is_leaving_)
         schedule_list(settings_.retry_delay);
--- a/oriolefall/follow/own_registration.hpp
+++ b/oriolefall/follow/own_registration.hpp
@@ -53,7 +53,7 @@
     void start(own_object own);
     /// The store was restored from a copy, and may have lost the own object:
     /// lists again, and writes it if it is missing.
-    void on_store_restored(std::uint64_t era);
+    void on_store_restored(std::uint64_t epoch);
     /// Removes the own object. A failed call is not retried.
     void leave();
     /// Removes the object of another instance. A failed call is not retried.
@@ -87,8 +87,8 @@
     bool is_written_ = false;
     /// The next list waits for its timer.
     bool is_list_scheduled_ = false;
-    /// Lists of earlier eras of the store say nothing.
-    std::uint64_t era_ = 0;
+    /// Lists of earlier epochs of the store say nothing.
+    std::uint64_t epoch_ = 0;
     bool is_leaving_ = false;
 };
 
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 store_duty::known_state::known_state(const collection_follower& follower)
-    : is_unreachable(follower.is_unreachable()), era(follower.view().era),
+    : is_unreachable(follower.is_unreachable()), epoch(follower.view().epoch),
       is_synced(follower.is_synced())
 {
 }
@@ -200,9 +200,9 @@
             is_checking_path_ = false;
             if (!shows_reachable_store(result))
                 return;
-            const auto era = protocol_.era(std::get<store_answer>(result));
+            const auto epoch = protocol_.epoch(std::get<store_answer>(result));
             for (const auto& collection : followed_collections_)
-                collection->follower.on_path_confirmed(sent_at, era);
+                collection->follower.on_path_confirmed(sent_at, epoch);
         });
 }
 
@@ -250,16 +250,16 @@
 {
     const absl::Time now = core::monotonic_now();
     call_result read_result;
-    std::optional<std::uint64_t> era;
+    std::optional<std::uint64_t> epoch;
     if (const auto* answer = std::get_if<store_answer>(&result)) {
         read_result = protocol_.parse(call, *answer);
-        era = protocol_.era(*answer);
+        epoch = protocol_.epoch(*answer);
     } else {
         read_result = call_failed{std::get<store_failure>(result).cause};
     }
     const known_state before(collection.follower);
     const bool has_changed =
-        collection.follower.on_result(now, read_result, era);
+        collection.follower.on_result(now, read_result, epoch);
     const auto* failure = std::get_if<call_failed>(&read_result);
     report_changes(collection, before, failure != nullptr ? failure->cause : "",
                    has_changed);
@@ -273,9 +273,10 @@
     if (is_unreachable != before.is_unreachable)
         hooks_.on_unreachable_changed(collection.name, is_unreachable, cause);
     const collection_view& view = collection.follower.view();
-    if (before.is_synced && view.era != before.era) {
-        hooks_.on_restored(collection.name, view.era, view.lost_changes.size());
-        registration_.on_store_restored(view.era);
+    if (before.is_synced && view.epoch != before.epoch) {
+        hooks_.on_restored(collection.name, view.epoch,
+                           view.lost_changes.size());
+        registration_.on_store_restored(view.epoch);
     }
     if (has_changed)
         hooks_.on_changed(collection.name, view);
--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -68,7 +68,7 @@
     std::function<void(const std::vector<stored_object>&)> on_listed;
     /// The store was restored from a copy; `lost_changes` known ones are not in
     /// the new list of the collection.
-    std::function<void(const std::string& collection, std::uint64_t era,
+    std::function<void(const std::string& collection, std::uint64_t epoch,
                        std::size_t lost_changes)>
         on_restored;
     /// The store became unreachable or reachable again.
@@ -112,7 +112,7 @@
     struct known_state
     {
         bool is_unreachable = false;
-        std::uint64_t era = 0;
+        std::uint64_t epoch = 0;
         bool is_synced = false;
         explicit known_state(const collection_follower& follower);
     };
--- a/oriolefall/follow/store_protocol.hpp
+++ b/oriolefall/follow/store_protocol.hpp
@@ -20,7 +20,7 @@
     /// Parses the answer to a read call.
     std::function<call_result(const read_call&, const store_answer&)> parse;
     /// Era of the store, if the answer names it.
-    std::function<std::optional<std::uint64_t>(const store_answer&)> era;
+    std::function<std::optional<std::uint64_t>(const store_answer&)> epoch;
     /// Calls that create or replace an object, to be made in order until one
     /// succeeds.
     std::function<std::vector<store_request>(const std::string& collection,
--- a/oriolefall/follow/view_message.hpp
+++ b/oriolefall/follow/view_message.hpp
@@ -18,7 +18,7 @@
     std::string collection;
     std::uint64_t revision = 0;
     /// Era of the store to which the revision belongs.
-    std::uint64_t era = 0;
+    std::uint64_t epoch = 0;
     auto operator<=>(const collection_revision&) const = default;
 };
 
@@ -49,7 +49,7 @@
     /// reachable all the time.
     absl::Duration reachable_for = absl::InfiniteDuration();
     /// Era of the store to which all revisions here belong.
-    std::uint64_t era = 0;
+    std::uint64_t epoch = 0;
     std::strong_ordering operator<=>(const collection_update&) const = default;
 };
 
--- a/oriolefall/peer/message_reader.cpp
+++ b/oriolefall/peer/message_reader.cpp
@@ -92,7 +92,7 @@
     field_reader fields = from.read_array();
     value.collection = fields.read_text();
     value.revision = fields.read_number();
-    value.era = fields.read_number();
+    value.epoch = fields.read_number();
 }
 
 bool get_flag(field_reader& from)
@@ -144,7 +144,7 @@
     get(fields, value.changes);
     value.age = get_duration(fields);
     value.reachable_for = get_duration(fields);
-    value.era = fields.read_number();
+    value.epoch = fields.read_number();
 }
 
 absl::Duration get_finite_duration(field_reader& from)
--- a/oriolefall/peer/message_writer.cpp
+++ b/oriolefall/peer/message_writer.cpp
@@ -93,7 +93,7 @@
 
 void put(packer& to, const follow::collection_revision& value)
 {
-    put_array(to, value.collection, value.revision, value.era);
+    put_array(to, value.collection, value.revision, value.epoch);
 }
 
 void put(packer& to, const follow::object_change& value)
@@ -116,7 +116,7 @@
     put_array(to, value.collection, value.from_revision, value.revision,
               std::uint64_t{value.is_snapshot}, value.changes,
               to_milliseconds(value.age), to_milliseconds(value.reachable_for),
-              value.era);
+              value.epoch);
 }
 
 void put(packer& to, const dispatch::reported_crash& value)
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -165,11 +165,11 @@
     hooks.on_relay_lost = [this](const std::string& collection) {
         log_.write("relay_lost", {{"collection", collection}});
     };
-    hooks.on_restored = [this](const std::string& collection, std::uint64_t era,
-                               std::size_t lost_changes) {
+    hooks.on_restored = [this](const std::string& collection,
+                               std::uint64_t epoch, std::size_t lost_changes) {
         log_.write("store_restored",
                    {{"collection", collection},
-                    {"era", std::to_string(era)},
+                    {"epoch", std::to_string(epoch)},
                     {"lost_changes", std::to_string(lost_changes)}});
     };
     hooks.on_unreachable_changed = [this](const std::string& collection,
--- a/oriolefall/router/server_reader.cpp
+++ b/oriolefall/router/server_reader.cpp
@@ -11,7 +11,7 @@
 dispatch::servers_changed
 server_reader::read(const follow::collection_view& view)
 {
-    if (std::exchange(era_, view.era) != view.era)
+    if (std::exchange(epoch_, view.epoch) != view.epoch)
         parsed_objects_.clear();
     std::vector<dispatch::server_entry> entries;
     dispatch::servers_changed change;
--- a/oriolefall/router/server_reader.hpp
+++ b/oriolefall/router/server_reader.hpp
@@ -46,9 +46,9 @@
                                     const dispatch::server_entry& entry) const;
 
     parse_hook parse_;
-    /// Of the era of the last view.
+    /// Of the epoch of the last view.
     parsed_map parsed_objects_;
-    std::uint64_t era_ = 0;
+    std::uint64_t epoch_ = 0;
 };
 
 } // namespace oriolefall::router
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -344,17 +344,17 @@
         protocol.parse(list, {200, "[]"})));
 }
 
-Test(store, answers_of_any_status_name_the_era)
+Test(store, answers_of_any_status_name_the_epoch)
 {
     const auto protocol = make_store_protocol();
     follow::store_answer answer{503, "", {}};
-    cr_assert_eq(protocol.era(answer), std::nullopt);
+    cr_assert_eq(protocol.epoch(answer), std::nullopt);
     for (const char* bad : {"", "x", "-1", "1.5", "99999999999999999999"}) {
         answer.header.set("Store-Era", bad);
-        cr_assert_eq(protocol.era(answer), std::nullopt);
+        cr_assert_eq(protocol.epoch(answer), std::nullopt);
     }
     answer.header.set("store-era", "7");
-    cr_assert_eq(protocol.era(answer), 7);
+    cr_assert_eq(protocol.epoch(answer), 7);
 }
 
 Test(store, a_path_check_and_a_stale_list_ask_for_answers_that_cost_little)
--- a/tests/adapter/soak/store_server.cpp
+++ b/tests/adapter/soak/store_server.cpp
@@ -118,7 +118,7 @@
     std::erase_if(history_, [this](const change& each) {
         return each.revision > revision_;
     });
-    ++era_;
+    ++epoch_;
     wake();
 }
 
@@ -169,7 +169,7 @@
         std::optional<response> made = co_await answer(asked);
         if (!made)
             co_return;
-        made->set("Store-Era", std::to_string(era_));
+        made->set("Store-Era", std::to_string(epoch_));
         co_await http::async_write(socket, *made, into(error));
         if (error)
             co_return;
--- a/tests/adapter/soak/store_server.hpp
+++ b/tests/adapter/soak/store_server.hpp
@@ -92,7 +92,7 @@
     std::uint64_t history_from_ = 100;
     std::map<std::string, std::map<std::string, json>> objects_;
     std::deque<change> history_;
-    std::uint64_t era_ = 1;
+    std::uint64_t epoch_ = 1;
     std::map<std::string, std::map<std::string, json>> copied_objects_;
     std::uint64_t copied_revision_ = 100;
 };
--- a/tests/follow/own_registration_test.cpp
+++ b/tests/follow/own_registration_test.cpp
@@ -92,7 +92,7 @@
         made.parse = [listed](const read_call&, const store_answer&) {
             return list_page{listed, false, 9};
         };
-        made.era = [](const store_answer&) { return std::nullopt; };
+        made.epoch = [](const store_answer&) { return std::nullopt; };
         made.put = [](const std::string&, const std::string& name,
                       const std::string& value) {
             return std::vector<store_request>{
--- a/tests/follow/restored_store_test.cpp
+++ b/tests/follow/restored_store_test.cpp
@@ -16,8 +16,8 @@
 
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 const std::string servers = "servers";
-constexpr std::uint64_t first_era = 1;
-constexpr std::uint64_t second_era = 2;
+constexpr std::uint64_t first_epoch = 1;
+constexpr std::uint64_t second_epoch = 2;
 
 stored_object object(const std::string& name, std::uint64_t revision,
                      const std::string& value)
@@ -25,13 +25,13 @@
     return {name, revision, value};
 }
 
-/// A follower that has listed these objects at revision 120 of the first era.
+/// A follower that has listed these objects at revision 120 of the first epoch.
 collection_follower synced(std::vector<stored_object> objects,
                            relay_role role = relay_role::independent)
 {
     collection_follower follower({.collection = servers, .initial_role = role});
     follower.on_result(start, list_page{std::move(objects), false, 120},
-                       first_era);
+                       first_epoch);
     return follower;
 }
 
@@ -39,7 +39,7 @@
 bool hear_of_restore(collection_follower& follower, absl::Time now)
 {
     follower.on_call_started(now);
-    return follower.on_result(now, change_list{{}, 101}, second_era);
+    return follower.on_result(now, change_list{{}, 101}, second_epoch);
 }
 
 /// The same, and then the list of the restored store at revision 100.
@@ -49,7 +49,7 @@
     hear_of_restore(follower, now);
     follower.on_call_started(now);
     follower.on_result(now, list_page{std::move(objects), false, 100},
-                       second_era);
+                       second_epoch);
 }
 
 } // namespace
@@ -66,7 +66,7 @@
     follower.on_call_started(start);
     cr_assert(follower.on_result(
         start, change_list{{{object("main", 103, "16"), false}}, 103},
-        second_era));
+        second_epoch));
     cr_assert_eq(follower.view().objects.at("main").value, "16");
 }
 
@@ -78,18 +78,18 @@
     follower.on_call_started(start);
     cr_assert_not(follower.on_result(
         start, change_list{{{object("b", 125, "new"), false}}, 125},
-        second_era));
+        second_epoch));
     cr_assert_not(follower.view().objects.contains("b"));
     cr_assert(std::holds_alternative<list_call>(follower.next_call().first));
 }
 
-Test(restored_store, pages_of_two_eras_are_not_joined)
+Test(restored_store, pages_of_two_epochs_are_not_joined)
 {
     collection_follower follower({.collection = servers});
     follower.on_result(start, list_page{{object("a", 118, "1")}, true, 120},
-                       first_era);
+                       first_epoch);
     follower.on_result(start, list_page{{object("b", 90, "1")}, false, 100},
-                       second_era);
+                       second_epoch);
     cr_assert_not(follower.is_synced());
     cr_assert(std::get<list_call>(follower.next_call().first).after.empty());
 }
@@ -100,17 +100,17 @@
     hear_of_restore(follower, start);
     restore(follower, start, {object("a", 90, "older")});
     follower.on_call_started(start);
-    follower.on_result(start, history_gone{}, second_era);
+    follower.on_result(start, history_gone{}, second_epoch);
     follower.on_call_started(start);
     // An answer that may be stale, or was on its way for long.
     follower.on_result(start, list_page{{object("a", 118, "old")}, false, 120},
-                       first_era);
+                       first_epoch);
     cr_assert_eq(follower.view().objects.at("a").value, "older");
     cr_assert_gt(follower.next_call().second, start);
 }
 
 // An instance that has not heard of the restore must not bring the past back.
-Test(restored_store, a_peer_of_an_earlier_era_changes_and_confirms_nothing)
+Test(restored_store, a_peer_of_an_earlier_epoch_changes_and_confirms_nothing)
 {
     const auto late = synced({object("a", 118, "old")}, relay_role::watcher);
     auto follower = synced({object("a", 118, "old")}, relay_role::follower);
@@ -123,7 +123,7 @@
     cr_assert_eq(follower.confirmed_at(), absl::InfinitePast());
 }
 
-Test(restored_store, a_peer_of_a_later_era_replaces_all)
+Test(restored_store, a_peer_of_a_later_epoch_replaces_all)
 {
     auto watcher = synced({object("a", 118, "old")}, relay_role::watcher);
     auto follower = synced({object("a", 118, "old"), object("b", 119, "old")},
@@ -138,18 +138,18 @@
     // The answer to a watch that was sent before asked for another past.
     cr_assert_not(follower.on_result(
         start, change_list{{{object("c", 125, "new"), false}}, 125},
-        second_era));
+        second_epoch));
     cr_assert_not(follower.view().objects.contains("c"));
     cr_assert_eq(follower.revision().revision, 100);
 }
 
-Test(restored_store, a_path_check_of_another_era_confirms_nothing)
+Test(restored_store, a_path_check_of_another_epoch_confirms_nothing)
 {
     auto watcher = synced({object("a", 118, "old")}, relay_role::watcher);
     watcher.on_call_started(start);
-    watcher.on_path_confirmed(start + absl::Seconds(1), second_era);
+    watcher.on_path_confirmed(start + absl::Seconds(1), second_epoch);
     cr_assert_eq(watcher.confirmed_at(), absl::InfinitePast());
-    watcher.on_path_confirmed(start + absl::Seconds(1), first_era);
+    watcher.on_path_confirmed(start + absl::Seconds(1), first_epoch);
     cr_assert_eq(watcher.confirmed_at(), start + absl::Seconds(1));
 }
 
@@ -172,8 +172,9 @@
         synced({object("leaving", 118, "draining"), object("gone", 80, "ready"),
                 object("same", 80, "ready")});
     follower.on_call_started(start);
-    follower.on_result(
-        start, change_list{{{object("gone", 121, ""), true}}, 121}, first_era);
+    follower.on_result(start,
+                       change_list{{{object("gone", 121, ""), true}}, 121},
+                       first_epoch);
     restore(follower, start,
             {object("leaving", 80, "ready"), object("gone", 80, "ready"),
              object("same", 80, "ready")});
@@ -184,7 +185,7 @@
     follower.on_call_started(start);
     follower.on_result(
         start, change_list{{{object("leaving", 101, "draining"), false}}, 101},
-        second_era);
+        second_epoch);
     cr_assert_eq(lost.size(), 1);
     cr_assert(follower.expire(follower.next_expiry()));
     cr_assert(lost.empty());
@@ -193,7 +194,7 @@
 
 namespace {
 
-/// A store that can be restored, with its history in each era.
+/// A store that can be restored, with its history in each epoch.
 class model_store
 {
 public:
@@ -219,7 +220,7 @@
         objects_ = copied_.objects;
         changes_ = copied_.changes;
         revision_ = copied_.revision;
-        ++era_;
+        ++epoch_;
     }
 
     /// Answers the next call of the follower.
@@ -228,10 +229,10 @@
         const auto call = follower.next_call().first;
         follower.on_call_started(now);
         if (std::holds_alternative<list_call>(call))
-            follower.on_result(now, list(), era_);
+            follower.on_result(now, list(), epoch_);
         else
             follower.on_result(
-                now, changes(std::get<watch_call>(call).from_revision), era_);
+                now, changes(std::get<watch_call>(call).from_revision), epoch_);
     }
 
     [[nodiscard]] list_page list() const
@@ -248,9 +249,9 @@
         return objects_;
     }
 
-    [[nodiscard]] std::uint64_t era() const
+    [[nodiscard]] std::uint64_t epoch() const
     {
-        return era_;
+        return epoch_;
     }
 
 private:
@@ -276,7 +277,7 @@
     std::map<std::string, stored_object> objects_;
     std::vector<object_change> changes_;
     std::uint64_t revision_ = 10;
-    std::uint64_t era_ = first_era;
+    std::uint64_t epoch_ = first_epoch;
     std::uint64_t value_ = 0;
     state copied_;
 };
@@ -284,7 +285,7 @@
 } // namespace
 
 // Random schedules of writes, restores, calls of the store and late answers of
-// peers: no instance ever returns to an earlier era, and once each has called
+// peers: no instance ever returns to an earlier epoch, and once each has called
 // the store, all know what it holds.
 Test(restored_store, random_schedules_end_with_what_the_store_holds)
 {
@@ -299,7 +300,7 @@
                                 relay_role::follower}) {
             fleet.emplace_back(
                 follower_settings{.collection = servers, .initial_role = role});
-            fleet.back().on_result(now, store.list(), store.era());
+            fleet.back().on_result(now, store.list(), store.epoch());
         }
         std::vector<std::pair<std::size_t, collection_update>> in_flight;
         const auto name = [] {
@@ -313,7 +314,7 @@
             now += absl::Milliseconds(*rc::gen::inRange(1, 400));
             const std::size_t chosen = index(fleet.size());
             collection_follower& each = fleet[chosen];
-            const std::uint64_t era = each.revision().era;
+            const std::uint64_t epoch = each.revision().epoch;
             switch (*rc::gen::inRange(0, 8)) {
             case 0:
             case 1:
@@ -345,14 +346,14 @@
                 fleet[at->first].on_relayed(now, now, at->second);
                 in_flight.erase(at);
             }
-            RC_ASSERT(each.revision().era >= era);
+            RC_ASSERT(each.revision().epoch >= epoch);
         }
         for (collection_follower& each : fleet) {
-            // The era, the list, and what came since.
+            // The epoch, the list, and what came since.
             for (int call = 0; call < 3; ++call)
                 store.answer(now, each);
             RC_ASSERT(each.view().objects == store.objects());
-            RC_ASSERT(each.revision().era == store.era());
+            RC_ASSERT(each.revision().epoch == store.epoch());
         }
     });
     cr_assert(holds);
--- a/tests/peer/any_message.cpp
+++ b/tests/peer/any_message.cpp
@@ -89,7 +89,7 @@
     update.changes = any_list<follow::object_change>(any_object_change);
     update.age = any_age();
     update.reachable_for = any_age();
-    update.era = any();
+    update.epoch = any();
     return update;
 }
 
--- a/tests/router/server_reader_test.cpp
+++ b/tests/router/server_reader_test.cpp
@@ -79,7 +79,7 @@
     follow::collection_view view;
     view.objects = {{"a", make_object("a", 1)}};
     static_cast<void>(reader.subject.read(view));
-    view.era = 1;
+    view.epoch = 1;
     static_cast<void>(reader.subject.read(view));
     cr_assert_eq(reader.parse_count, 2);
     static_cast<void>(reader.subject.read(view));
