--- /dev/null
+++ b/tests/adapter/store_codec_test.cpp
@@ -0,0 +1,99 @@
+#include "platform/store_codec.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using namespace oriolefall::platform;
+
+Test(store, calls_are_written_as_the_store_reads_them)
+{
+    const auto protocol = make_store_protocol();
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "i-7", false}),
+                 "/objects/servers?after=i-7");
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "", true}),
+                 "/objects/servers?staleOk=1");
+    cr_assert_eq(
+        protocol.target(follow::watch_call{"config", 530, absl::Seconds(2)}),
+        "/objects/config?watchFromRev=530&waitMs=2000");
+}
+
+Test(store, answers_are_read_as_pages_changes_or_failures)
+{
+    const auto protocol = make_store_protocol();
+    const follow::list_call list{"servers", "", false};
+    const follow::watch_call watch{"servers", 1, absl::Seconds(1)};
+    const auto page = std::get<follow::list_page>(protocol.parse(
+        list, {200, R"({"items":[{"metadata":{"name":"i-1","revision":5},
+                        "spec":{"a":1}},{"metadata":7}],
+                        "hasMore":true,"at":530})"}));
+    cr_assert_eq(page.objects.size(), 1);
+    cr_assert_eq(page.objects[0].revision, 5);
+    cr_assert_eq(page.objects[0].value, R"({"a":1})");
+    cr_assert(page.has_more);
+    cr_assert_eq(page.revision, 530);
+    const auto changes = std::get<follow::change_list>(
+        protocol.parse(watch, {200, R"({"events":[{"deleted":true,"object":
+                         {"metadata":{"name":"i-1","revision":6}}}],"at":531})"}));
+    cr_assert(changes.changes[0].is_deleted);
+    cr_assert(std::holds_alternative<follow::history_gone>(
+        protocol.parse(watch, {410, ""})));
+    for (const unsigned status : {429U, 500U, 503U})
+        cr_assert(std::holds_alternative<follow::call_failed>(
+            protocol.parse(watch, {status, "{}"})));
+    cr_assert(std::holds_alternative<follow::call_failed>(
+        protocol.parse(list, {200, "[]"})));
+}
+
+Test(store, answers_of_any_status_name_the_epoch)
+{
+    const auto protocol = make_store_protocol();
+    follow::store_answer answer{503, "", {}};
+    cr_assert_eq(protocol.epoch(answer), std::nullopt);
+    for (const char* bad : {"", "x", "-1", "1.5", "99999999999999999999"}) {
+        answer.header.set("Store-Era", bad);
+        cr_assert_eq(protocol.epoch(answer), std::nullopt);
+    }
+    answer.header.set("store-era", "7");
+    cr_assert_eq(protocol.epoch(answer), 7);
+}
+
+Test(store, a_path_check_and_a_stale_list_ask_for_answers_that_cost_little)
+{
+    const auto protocol = make_store_protocol();
+    const auto check = protocol.check_path("instances", "edge-1");
+    cr_assert(check.method == http::verb::get);
+    cr_assert_eq(check.target, "/objects/instances/edge-1?staleOk=1");
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "", true}),
+                 "/objects/servers?staleOk=1");
+    cr_assert_eq(protocol.target(follow::list_call{"servers", "", false}),
+                 "/objects/servers");
+}
+
+// What an instance writes is the same at each start, so that it needs no new
+// write where it is listed.
+Test(store, the_object_of_an_instance_does_not_change_with_its_incarnation)
+{
+    membership::member member;
+    member.incarnation = 1;
+    const std::string first = print_member(member);
+    member.incarnation = 2;
+    cr_assert_eq(print_member(member), first);
+}
+
+Test(store, an_instance_that_is_written_is_read_back)
+{
+    membership::member member;
+    member.id = core::instance_id("edge-1");
+    member.caller_endpoint = {"10.1.0.1", 8000};
+    member.peer_endpoint = {"10.1.0.1", 8001};
+    member.location = {core::region_name("riga"),
+                       core::failure_domain_name("riga-a")};
+    const auto read = parse_member({"edge-1", 1, print_member(member)});
+    cr_assert(read.has_value());
+    cr_assert(*read == member);
+    cr_assert_not(parse_member({"edge-1", 1, "{}"}).has_value());
+}
--- a/tests/follow/restored_store_test.cpp
+++ b/tests/follow/restored_store_test.cpp
@@ -1,7 +1,6 @@
 #include "oriolefall/follow/view_relay.hpp"
+#include "tests/follow/model_store.hpp"
 
-#include <iterator>
-#include <map>
 #include <rapidcheck.h>
 #include <string>
 #include <utility>
@@ -11,6 +10,7 @@
 
 using namespace oriolefall;
 using namespace oriolefall::follow;
+using tests::model_store;
 
 namespace {
 
@@ -192,98 +192,6 @@
     cr_assert_eq(follower.next_expiry(), absl::InfiniteFuture());
 }
 
-namespace {
-
-/// A store that can be restored, with its history in each epoch.
-class model_store
-{
-public:
-    void put(const std::string& name)
-    {
-        objects_[name] = object(name, ++revision_, std::to_string(++value_));
-        changes_.push_back({objects_[name], false});
-    }
-
-    void remove(const std::string& name)
-    {
-        if (objects_.erase(name) > 0)
-            changes_.push_back({{name, ++revision_, {}}, true});
-    }
-
-    void copy()
-    {
-        copied_ = {objects_, changes_, revision_};
-    }
-
-    void restore()
-    {
-        objects_ = copied_.objects;
-        changes_ = copied_.changes;
-        revision_ = copied_.revision;
-        ++epoch_;
-    }
-
-    /// Answers the next call of the follower.
-    void answer(absl::Time now, collection_follower& follower) const
-    {
-        const auto call = follower.next_call().first;
-        follower.on_call_started(now);
-        if (std::holds_alternative<list_call>(call))
-            follower.on_result(now, list(), epoch_);
-        else
-            follower.on_result(
-                now, changes(std::get<watch_call>(call).from_revision), epoch_);
-    }
-
-    [[nodiscard]] list_page list() const
-    {
-        list_page page;
-        for (const auto& [name, each] : objects_)
-            page.objects.push_back(each);
-        page.revision = revision_;
-        return page;
-    }
-
-    [[nodiscard]] std::map<std::string, stored_object> objects() const
-    {
-        return objects_;
-    }
-
-    [[nodiscard]] std::uint64_t epoch() const
-    {
-        return epoch_;
-    }
-
-private:
-    [[nodiscard]] call_result changes(std::uint64_t from) const
-    {
-        if (from > revision_)
-            return history_gone{};
-        change_list list{{}, revision_};
-        std::ranges::copy_if(changes_, std::back_inserter(list.changes),
-                             [&](const object_change& change) {
-                                 return change.object.revision > from;
-                             });
-        return list;
-    }
-
-    struct state
-    {
-        std::map<std::string, stored_object> objects;
-        std::vector<object_change> changes;
-        std::uint64_t revision = 10;
-    };
-
-    std::map<std::string, stored_object> objects_;
-    std::vector<object_change> changes_;
-    std::uint64_t revision_ = 10;
-    std::uint64_t epoch_ = first_epoch;
-    std::uint64_t value_ = 0;
-    state copied_;
-};
-
-} // namespace
-
 // Random schedules of writes, restores, calls of the store and late answers of
 // peers: no instance ever returns to an earlier epoch, and once each has called
 // the store, all know what it holds.
--- a/tests/follow/silent_connection_test.cpp
+++ b/tests/follow/silent_connection_test.cpp
@@ -1,5 +1,6 @@
 #include "oriolefall/follow/store_duty.hpp"
 #include "oriolefall/follow/view_relay.hpp"
+#include "tests/follow/model_store.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -12,42 +13,26 @@
 
 using namespace oriolefall;
 using namespace oriolefall::follow;
+using tests::model_store;
 
 namespace {
 
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 const std::string settings_collection = "settings";
-const stored_object first_version{"main", 10, "first"};
-const stored_object second_version{"main", 11, "second"};
 constexpr absl::Duration tick = absl::Milliseconds(10);
 /// Time in which settings have to be in force everywhere.
 constexpr absl::Duration apply_bound = absl::Seconds(4);
 
-/// The store: holds the first version, and from some time on the second one.
-struct model_store
-{
-    absl::Time changed_at = absl::InfiniteFuture();
-
-    [[nodiscard]] change_list changes(absl::Time now,
-                                      std::uint64_t revision) const
-    {
-        if (now < changed_at || revision >= second_version.revision)
-            return {{}, revision};
-        return {{{second_version, false}}, second_version.revision};
-    }
-};
-
 /// An instance that calls the store. Its calls are answered at once, but for
 /// those whose connection has fallen silent.
 class simulated_instance
 {
 public:
-    explicit simulated_instance(relay_role role)
+    simulated_instance(relay_role role, const model_store& store)
         : follower_({.collection = settings_collection, .initial_role = role}),
           relay_({}, role, {{settings_collection, &follower_}})
     {
-        follower_.on_result(
-            start, list_page{{first_version}, false, first_version.revision});
+        follower_.on_result(start, store.list());
     }
 
     void assign(const std::vector<core::instance_id>& watchers)
@@ -92,10 +77,9 @@
         relay_.on_update(now, update);
     }
 
-    [[nodiscard]] bool has_second_version() const
+    [[nodiscard]] bool knows_all_of(const model_store& store) const
     {
-        return follower_.view().objects.at(second_version.name) ==
-               second_version;
+        return follower_.view().objects == store.objects();
     }
 
 private:
@@ -106,7 +90,8 @@
             (is_silent_
                  ? absl::FromChrono(store_duty_settings{}.watch_answer_timeout)
                  : absl::ZeroDuration());
-        const change_list changes = store.changes(now, watch_->from_revision);
+        const auto changes =
+            std::get<change_list>(store.changes_since(watch_->from_revision));
         const bool has_answer = !is_silent_ && !changes.changes.empty();
         if (!has_answer && now < answered_by)
             return;
@@ -129,11 +114,11 @@
 class simulated_region
 {
 public:
-    simulated_region()
+    explicit simulated_region(const model_store& store)
     {
         for (const auto role : {relay_role::watcher, relay_role::watcher,
                                 relay_role::follower, relay_role::follower})
-            instances_.emplace_back(role);
+            instances_.emplace_back(role, store);
         for (std::size_t i = 0; i < instances_.size(); ++i) {
             std::vector<core::instance_id> watchers{core::instance_id("0"),
                                                     core::instance_id("1")};
@@ -163,10 +148,11 @@
             each.silence_open_connections();
     }
 
-    [[nodiscard]] bool has_second_version_everywhere() const
+    [[nodiscard]] bool knows_all_of(const model_store& store) const
     {
-        return std::ranges::all_of(instances_,
-                                   &simulated_instance::has_second_version);
+        return std::ranges::all_of(instances_, [&store](const auto& each) {
+            return each.knows_all_of(store);
+        });
     }
 
 private:
@@ -186,14 +172,15 @@
     const absl::Duration phase_step = absl::Milliseconds(170);
     for (absl::Duration phase = absl::ZeroDuration(); phase < longest_phase;
          phase += phase_step) {
-        simulated_region region;
         model_store store;
+        store.put("main");
+        simulated_region region(store);
         const absl::Time silenced_at = start + absl::Seconds(20) + phase;
         region.run_until(silenced_at, store);
         region.silence_open_connections();
-        store.changed_at = silenced_at;
+        store.put("main");
         region.run_until(silenced_at + apply_bound, store);
-        cr_assert(region.has_second_version_everywhere(),
+        cr_assert(region.knows_all_of(store),
                   "connections silent %s after the start",
                   absl::FormatDuration(silenced_at - start).c_str());
     }
