--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -97,8 +97,9 @@
     bool on_result(absl::Time now, const call_result& result,
                    std::optional<std::uint64_t> named_epoch = {});
     void set_role(relay_role role);
-    /// The store has answered a call that was sent at `sent_at`, so that a
-    /// pending watch would have reported changes made before.
+    /// The store has answered a call that was sent at `sent_at`. A pending
+    /// watch is taken to have heard of the changes made before. Where its
+    /// connection is silent that is wrong, until its timeout at most.
     void on_path_confirmed(absl::Time sent_at,
                            std::optional<std::uint64_t> named_epoch = {});
     /// Processes what a peer knows; its age was known at `asked_at` or later.
--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -118,7 +118,10 @@
 
 void own_registration::on_store_restored(std::uint64_t epoch)
 {
-    epoch_ = std::max(epoch_, epoch);
+    // Each followed collection tells of the same restore.
+    if (epoch <= epoch_)
+        return;
+    epoch_ = epoch;
     is_written_ = false;
     if (is_list_scheduled_ && !is_leaving_)
         schedule_list(settings_.retry_delay);
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -249,7 +249,8 @@
     auto parsed = hooks_.parse_routes(found->second.value);
     if (!parsed) {
         log_.write("settings_unreadable",
-                   {{"revision", std::to_string(found->second.revision)}});
+                   {{"revision", std::to_string(found->second.revision)},
+                    {"epoch", std::to_string(view.epoch)}});
         return;
     }
     if (!routing::may_replace(
