--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """Two answers of a worker have a body without end, and instances crash."""
 
 import os
+import random
 import sys
 import threading
 import time
@@ -54,7 +55,9 @@
     if f.has_trouble():
         faulty.spoil = answer_without_end
 
-    def ask(instance, is_unsafe):
+    def ask(instance, number):
+        pauses = random.Random(number)
+        is_unsafe = number % 2 == 0
         client = f.Client(fleet, instance)
         while fleet.record.now() < stop_at:
             answer = (
@@ -62,11 +65,11 @@
                 if is_unsafe
                 else client.ask("GET", "/read/1", 2000)
             )
-            time.sleep(0.02 if answer is not None else 0.2)
+            time.sleep(pauses.uniform(0.0, 0.1) if answer is not None else 0.2)
         client.close()
 
     threads = [
-        threading.Thread(target=ask, args=(each, number % 2 == 0))
+        threading.Thread(target=ask, args=(each, number))
         for each in fleet.instances
         for number in range(CLIENTS_PER_INSTANCE)
     ]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 instances crash, again and again."""
 
 import os
+import random
 import sys
 import threading
 import time
@@ -10,7 +11,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import fleet as f  # noqa: E402
 
-CLIENTS_PER_INSTANCE = 6
+CLIENTS_PER_INSTANCE = 10
 WARM_UP = 6.0  # longer than contactMs
 LENGTH = 12.0
 DEPTH = 200_000  # 400 KB; valueBytes is 1 MiB
@@ -30,7 +31,9 @@
     fleet.start()
     stop_at = fleet.record.now() + WARM_UP + LENGTH
 
-    def ask(instance, is_unsafe):
+    def ask(instance, number):
+        pauses = random.Random(number)
+        is_unsafe = number % 2 == 0
         client = f.Client(fleet, instance)
         while fleet.record.now() < stop_at:
             answer = (
@@ -38,11 +41,11 @@
                 if is_unsafe
                 else client.ask("GET", "/read/1", 2000)
             )
-            time.sleep(0.02 if answer is not None else 0.2)
+            time.sleep(pauses.uniform(0.0, 0.1) if answer is not None else 0.2)
         client.close()
 
     threads = [
-        threading.Thread(target=ask, args=(each, number % 2 == 0))
+        threading.Thread(target=ask, args=(each, number))
         for each in fleet.instances
         for number in range(CLIENTS_PER_INSTANCE)
     ]
