--- a/review/1/case.py
+++ b/review/1/case.py
@@ -69,7 +69,7 @@
         client.close()
 
     threads = [
-        threading.Thread(target=ask, args=(each, number))
+        threading.Thread(target=ask, args=(each, number), daemon=True)
         for each in fleet.instances
         for number in range(CLIENTS_PER_INSTANCE)
     ]
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -492,6 +492,8 @@
         # (time, status) of each end that this script did not ask for.
         self.own_ends = []
         self._is_watched = False
+        # No process is started once `stop` has begun.
+        self._restart = threading.Lock()
         self._log = os.path.join(fleet.folder, name + ".log")
 
     def write_settings(self):
@@ -562,8 +564,9 @@
             self.own_ends.append((self.fleet.record.now(), status))
             self.fleet.record.say("instance %s ended by itself, status %d" % (self.name, status))
             time.sleep(1)
-            if self._is_watched:
-                self.start()
+            with self._restart:
+                if self._is_watched:
+                    self.start()
 
     def was_in_touch(self, at):
         """Whether the process had run for contactMs then. No script harms the
@@ -587,10 +590,11 @@
         self.process.send_signal(number)
 
     def stop(self):
-        self._is_watched = False
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+        with self._restart:
+            self._is_watched = False
+            if self.process is not None and self.process.poll() is None:
+                self.process.kill()
+                self.process.wait()
 
     def log_tail(self, lines=5):
         with open(self._log, encoding="utf-8", errors="replace") as file:
