--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -6,6 +6,7 @@
 loopback addresses of its own.
 """
 
+import ctypes
 import json
 import os
 import re
@@ -52,6 +53,15 @@
 GRACE = 8.0
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_script():
+    """Runs in a new process: it is killed when the script ends, even by SIGKILL."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     """The case could not be played; says nothing of the rule."""
 
@@ -545,7 +555,7 @@
         with open(self._log, "ab") as log:
             self.process = subprocess.Popen(
                 self.fleet.command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                stdout=log, stderr=log, preexec_fn=end_with_script,
             )
         self.starts.append(self.fleet.record.now())
         self.fleet.record.write("instance %s starts" % self.name)
@@ -728,10 +738,15 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def stop_script(*_):
+    raise SystemExit(2)
+
+
 def play(case_folder, case, **options):
     """Runs `case(fleet)`, which returns the text of each breach of the rule.
     Exits with 1 if there is one, 0 if not, 2 if the case couldn't run."""
-    signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(SystemExit(2)))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop_script)
     fleet = None
     try:
         fleet = Fleet(case_folder, **options)
