net: a body in a transfer coding that isn't known is refused

Cause: Beast takes a request with neither length nor chunks as one without a body, whatever codings it has; the field was then dropped as hop-by-hop.

Change: any coding but "chunked" alone is a fault (RFC 9112, section 6): 501 where chunked is the last of several, else 400, and the connection closes. The same for HTTP/1.0, and for answers.

Test: message_parser/a_body_in_an_unknown_coding_is_a_fault.

--- a/oriolefall/net/message_parser.cpp
+++ b/oriolefall/net/message_parser.cpp
@@ -19,6 +19,8 @@
 /// extensions, or the trailer.
 constexpr std::size_t max_framing_bytes = std::size_t{128} * 1024;
 constexpr std::string_view last_chunk_line = "0\r\n";
+constexpr std::string_view chunked_coding = "chunked";
+constexpr unsigned http_1_1 = 11;
 
 message_fault to_fault(const error_code& error)
 {
@@ -35,6 +37,13 @@
     return {static_cast<const char*>(data.data()), data.size()};
 }
 
+bool is_chunked_coding(std::string_view coding)
+{
+    const auto stripped = absl::StripAsciiWhitespace(core::to_absl(coding));
+    return core::equals_ignore_case({stripped.data(), stripped.size()},
+                                    chunked_coding);
+}
+
 } // namespace
 
 template <bool IsRequest>
@@ -78,8 +87,11 @@
         waits_for_more_ = error == http::error::need_more;
         if (error && !waits_for_more_)
             return to_fault(error);
-        if (!had_head && parser_.is_header_done())
+        if (!had_head && parser_.is_header_done()) {
+            if (const auto fault = check_transfer_coding())
+                return *fault;
             return parse_progress::head_complete;
+        }
         if (waits_for_more_)
             break;
     }
@@ -99,6 +111,29 @@
            bytes_of(buffer).starts_with(last_chunk_line);
 }
 
+template <bool IsRequest>
+std::optional<message_fault>
+message_parser<IsRequest>::check_transfer_coding() const
+{
+    const auto [first, last] =
+        parser_.get().equal_range(http::field::transfer_encoding);
+    if (first == last)
+        return std::nullopt;
+    const std::string_view codings = to_std(std::prev(last)->value());
+    const auto comma = codings.rfind(',');
+    const bool is_single =
+        comma == std::string_view::npos && std::next(first) == last;
+    const std::string_view final_coding =
+        is_single || comma == std::string_view::npos
+            ? codings
+            : codings.substr(comma + 1);
+    if (!is_chunked_coding(final_coding) || parser_.get().version() < http_1_1)
+        return message_fault::malformed;
+    if (!is_single)
+        return message_fault::unsupported_coding;
+    return std::nullopt;
+}
+
 template <bool IsRequest>
 bool message_parser<IsRequest>::finish_at_end_of_stream()
 {
--- a/oriolefall/net/message_parser.hpp
+++ b/oriolefall/net/message_parser.hpp
@@ -86,6 +86,7 @@
     /// last chunk, offered before, and one more.
     [[nodiscard]] bool
     is_split_last_chunk(const boost::beast::flat_buffer& buffer) const;
+    [[nodiscard]] std::optional<message_fault> check_transfer_coding() const;
 
     parser_type parser_;
     /// Nothing of the bytes offered last could be used without more.
--- a/tests/net/message_parser_test.cpp
+++ b/tests/net/message_parser_test.cpp
@@ -70,6 +70,11 @@
 const std::string chunked_answer =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+std::string request_with_coding(const std::string& fields)
+{
+    return "POST /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n0\r\n\r\n";
+}
+
 } // namespace
 
 // An answer that announced 10^15 bytes ended the process by std::bad_alloc.
@@ -146,6 +151,36 @@
         message_fault::body_too_large);
 }
 
+// RFC 9112, section 6.3. Such a request was run without its body, and its body
+// as a request of its own.
+Test(message_parser, a_body_in_an_unknown_coding_is_a_fault)
+{
+    for (const char* fields :
+         {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+          "Transfer-Encoding: chunked, identity\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+          "Transfer-Encoding:\r\n", "Transfer-Encoding: chunked;q=1\r\n"})
+        cr_assert(parse_whole<true>(request_with_coding(fields)).fault ==
+                      message_fault::malformed,
+                  "%s", fields);
+    for (const char* fields :
+         {"Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: gzip;q=1, chunked\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"})
+        cr_assert(parse_whole<true>(request_with_coding(fields)).fault ==
+                      message_fault::unsupported_coding,
+                  "%s", fields);
+    cr_assert(parse_whole<true>("POST / HTTP/1.0\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n0\r\n\r\n")
+                  .fault == message_fault::malformed);
+    cr_assert(parse_whole<true>(
+                  request_with_coding("Transfer-Encoding:  Chunked \r\n"))
+                  .is_complete);
+    cr_assert(
+        parse_whole<false>("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n")
+            .fault == message_fault::malformed);
+}
+
 Test(message_parser, framing_without_end_is_a_fault)
 {
     const std::string filler(std::size_t{200} * 1024, 'x');
