--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -48,6 +49,65 @@
         protocol.parse(list, {200, "[]"})));
 }
 
+namespace {
+
+/// The text of an object of the store, and of a list and a watch that hold it
+/// between two sound ones.
+std::string object_text(const std::string& name, const std::string& value)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":5},"spec":)" +
+           value + "}";
+}
+
+std::vector<follow::stored_object> read_list_with(const std::string& value)
+{
+    const auto read = make_store_protocol().parse(
+        follow::list_call{"servers", "", false},
+        {200, R"({"items":[)" + object_text("a", "1") + "," +
+                  object_text("b", value) + "," + object_text("c", "3") +
+                  R"(],"hasMore":true,"at":9})"});
+    const auto page = std::get<follow::list_page>(read);
+    cr_assert_eq(page.revision, 9);
+    cr_assert(page.has_more);
+    return page.objects;
+}
+
+std::vector<follow::object_change> read_watch_with(const std::string& value)
+{
+    const auto event = [](const std::string& object) {
+        return R"({"deleted":false,"object":)" + object + "}";
+    };
+    const auto read = make_store_protocol().parse(
+        follow::watch_call{"servers", 1, absl::Seconds(1)},
+        {200, R"({"events":[)" + event(object_text("a", "1")) + "," +
+                  event(object_text("b", value)) + "," +
+                  event(object_text("c", "3")) + R"(],"at":9})"});
+    return std::get<follow::change_list>(read).changes;
+}
+
+} // namespace
+
+// review/3: one such value made the whole list, and each watch, unreadable, so
+// that no change of any server was learned any more.
+Test(store, one_unreadable_value_hides_no_other_object)
+{
+    for (const char* value :
+         {R"({"version":"v\ud800"})", R"({"capacity":1e400})",
+          "{\"a\":\"\xff\"}", "{\"a\":01}", "{\"a\":\"\x01\"}", R"({"a" 1})",
+          "nul"}) {
+        const auto objects = read_list_with(value);
+        cr_assert_eq(objects.size(), 3, "%s", value);
+        cr_assert_eq(objects[0].value, "1");
+        cr_assert_eq(objects[1].value, "");
+        cr_assert_eq(objects[2].value, "3");
+        const auto changes = read_watch_with(value);
+        cr_assert_eq(changes.size(), 3, "%s", value);
+        cr_assert_eq(changes[1].object.revision, 5);
+        cr_assert_eq(changes[1].object.value, "");
+        cr_assert_eq(changes[2].object.value, "3");
+    }
+}
+
 Test(store, answers_of_any_status_name_the_epoch)
 {
     const auto protocol = make_store_protocol();
