platform: a value that is nested too deep is no value

Cause: a stored value is parsed without recursion, but printed with it (a frame a level); the stack of the store's thread overflowed.

The object is there without a value, as for other unreadable values.

--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -87,6 +87,20 @@
 
 } // namespace
 
+// review/2: an entry that was nested 200,000 deep overflowed the stack of each
+// instance, and again after each start.
+Test(store, a_deeply_nested_value_is_no_value)
+{
+    const std::string nested =
+        std::string(200000, '[') + std::string(200000, ']');
+    const auto objects = read_list_with(R"({"address":)" + nested + "}");
+    cr_assert_eq(objects.size(), 3);
+    cr_assert_eq(objects[1].name, "b");
+    cr_assert_eq(objects[1].value, "");
+    cr_assert_eq(read_watch_with(nested).at(1).object.value, "");
+    cr_assert_not(parse_member({"b", 5, nested}).has_value());
+}
+
 // review/3: one such value made the whole list, and each watch, unreadable, so
 // that no change of any server was learned any more.
 Test(store, one_unreadable_value_hides_no_other_object)
--- a/tests/json_text/json_text_test.cpp
+++ b/tests/json_text/json_text_test.cpp
@@ -11,6 +11,31 @@
 using namespace oriolefall;
 using nlohmann::json;
 
+namespace {
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+// A value that was nested 200,000 deep was parsed, and printing it overflowed
+// the stack.
+Test(json_text, what_is_nested_too_deep_is_not_parsed)
+{
+    cr_assert(json_text::parse(nested(json_text::max_depth)).has_value());
+    cr_assert_not(
+        json_text::parse(nested(json_text::max_depth + 1)).has_value());
+    cr_assert_not(json_text::parse(nested(2000000)).has_value());
+    cr_assert_not(
+        json_text::parse(std::string(2000000, '[') + "\"").has_value());
+    // Brackets in strings nest nothing.
+    cr_assert(
+        json_text::parse(R"({"a":"\"[[[[)" + std::string(100, '[') + "\"}")
+            .has_value());
+}
+
 Test(json_text, what_the_library_refuses_is_nothing)
 {
     for (const char* text :
