follow: a deletion of an object that was never known is passed on to peers

What callers would see: an instance that learns from peers keeps a server that is gone, for as long as it runs.

Cause: an instance that learned of an object and its deletion in one step (or of the deletion alone) didn't log the deletion, and said that it knew everything up to there. A peer that had the object asked it for what came after, was told of no deletion, and moved its own revision past it: no later watch told it either.

Traced by reading the schedule, not put down to chance.

Test: view_relay/a_deletion_of_an_object_that_was_never_known_is_passed_on failed before.

--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -244,6 +244,8 @@
             has_changed = put(object) || has_changed;
             continue;
         }
+        // Also of an object that was never known here: peers may have it.
+        deletions_.record({{object.name, object.revision, {}}, true}, known_at);
         const auto current = view_.objects.find(object.name);
         if (current == view_.objects.end() ||
             current->second.revision > object.revision)
--- a/oriolefall/follow/deletion_log.hpp
+++ b/oriolefall/follow/deletion_log.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace oriolefall::follow {
@@ -24,16 +25,22 @@
 
     /// Whether all deletions after `revision` are in the log.
     [[nodiscard]] bool covers(std::uint64_t revision) const;
+    /// Whether the log has a deletion that undoes this state of an object.
+    [[nodiscard]] bool is_deleted(const stored_object& object) const;
     /// The deletions that were reported after `revision`.
     [[nodiscard]] std::vector<object_change>
     since(std::uint64_t revision) const;
 
 private:
+    void forget_oldest();
+
     std::size_t capacity_;
     /// Deletions up to this revision are unknown.
     std::uint64_t start_revision_ = 0;
     /// By the store revision at which they were reported.
     std::multimap<std::uint64_t, object_change> deletions_;
+    /// Revision of the last deletion of each object in the log, by its name.
+    std::map<std::string, std::uint64_t> last_deletions_;
 };
 
 } // namespace oriolefall::follow
--- a/tests/follow/view_relay_test.cpp
+++ b/tests/follow/view_relay_test.cpp
@@ -195,6 +195,24 @@
     cr_assert_eq(watcher.confirmed_at(), watched);
 }
 
+// An instance that had learned of an object and its deletion at once told no
+// peer of the deletion: peers that had the object kept it for good.
+Test(view_relay, a_deletion_of_an_object_that_was_never_known_is_passed_on)
+{
+    auto between = synced(relay_role::watcher, {}, 10);
+    auto follower = synced(relay_role::follower, {}, 10);
+    follower.on_result(start, change_list{{{object("a", 11), false}}, 11});
+    collection_update update;
+    update.collection = servers;
+    update.from_revision = 10;
+    update.revision = 12;
+    update.changes = {{{"a", 12, {}}, true}};
+    cr_assert_not(between.on_relayed(start, start, update));
+    cr_assert(follower.on_relayed(start, start,
+                                  between.update_since(start, {servers, 11})));
+    cr_assert(follower.view().objects.empty());
+}
+
 Test(view_relay, a_peer_beyond_the_logged_deletions_is_sent_everything)
 {
     auto watcher = synced(relay_role::watcher, {object("a", 20)}, 20);
