follow: a late answer brings no deleted object back

What callers would see: a server that is gone is used again, for good.

Cause: the answer to a watch may be on its way while a peer tells of what came after it, a deletion among it. The object of the answer was unknown again by then and was taken as new; the watch went on behind the deletion.

Change: an object that the log of deletions knows to be deleted at its revision or later isn't taken.

Test: view_relay/a_late_answer_brings_no_deleted_object_back failed before.

--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -288,6 +288,9 @@
 
 bool collection_follower::put(const stored_object& object)
 {
+    // An answer that was on its way while a peer told of the deletion.
+    if (deletions_.is_deleted(object))
+        return false;
     view_.stale.erase(object.name);
     const auto current = view_.objects.find(object.name);
     if (current != view_.objects.end() &&
--- a/tests/follow/view_relay_test.cpp
+++ b/tests/follow/view_relay_test.cpp
@@ -213,6 +213,23 @@
     cr_assert(follower.view().objects.empty());
 }
 
+// The answer to a watch was on its way while a peer told of what came after it.
+Test(view_relay, a_late_answer_brings_no_deleted_object_back)
+{
+    auto follower = synced(relay_role::follower, {}, 10);
+    follower.on_call_started(start);
+    collection_update update;
+    update.collection = servers;
+    update.from_revision = 10;
+    update.revision = 12;
+    update.changes = {{{"a", 12, {}}, true}};
+    follower.on_relayed(start, start, update);
+    follower.on_result(start, change_list{{{object("a", 11), false}}, 11});
+    cr_assert(follower.view().objects.empty());
+    follower.on_result(start, change_list{{{object("a", 13), false}}, 13});
+    cr_assert_eq(follower.view().objects.size(), 1);
+}
+
 Test(view_relay, a_peer_beyond_the_logged_deletions_is_sent_everything)
 {
     auto watcher = synced(relay_role::watcher, {object("a", 20)}, 20);
