forward: a stop waits for callers that still read; bodies that arrive are bounded

Cause: a request was over once the last byte of its answer was queued; 0.3 s later all connections were closed with SO_LINGER 0, which also discards what the kernel still sends. Beside it, the time in which a connection must be closed (2 s), or may be idle, ran while the caller was still reading, and cut such answers without any stop. Change: the process ends once no caller is connected. A connection whose answer was written whole is closed without a reset. A caller that takes 4 KiB in 8 s keeps its connection. At the end of the grace time open requests are answered (503 where none was sent to a server, 504 otherwise), and one that is still arriving is refused; it was passed on and cut before.

Operators saw: 402 MB resident while 100 callers sent 4 MiB each, where a process is killed at 260. Cause: the limit on bodies was looked at once a body was whole. Change: all bodies share it from their first byte on (byte_budget); whoever finds no room is told to come back (503, Retry-After).

--- a/oriolefall/forward/caller_connection.cpp
+++ b/oriolefall/forward/caller_connection.cpp
@@ -19,9 +19,13 @@
 constexpr std::size_t read_bytes = 16384;
 /// Maximum number of queued pieces that one write combines.
 constexpr std::size_t max_pieces_per_write = 16;
-/// Time in which a caller must read the end of its last answer and close the
-/// connection.
+constexpr std::size_t max_bytes_per_write = std::size_t{64} * 1024;
+/// Time in which a caller must close its connection after its last answer.
 constexpr std::chrono::milliseconds closing_timeout{2000};
+/// In this time a caller must take so many bytes of an answer that is ready for
+/// it.
+constexpr std::chrono::milliseconds slow_caller_timeout{8000};
+constexpr std::size_t min_bytes_taken = 4096;
 
 std::chrono::milliseconds to_chrono(absl::Duration duration)
 {
@@ -49,8 +53,10 @@
 
 caller_connection::caller_connection(tcp::socket socket,
                                      const forward_settings& settings,
+                                     byte_budget& body_budget,
                                      caller_hooks hooks)
-    : socket_(std::move(socket)), settings_(settings), hooks_(std::move(hooks)),
+    : socket_(std::move(socket)), settings_(settings),
+      body_budget_(body_budget), hooks_(std::move(hooks)),
       timer_(socket_.get_executor())
 {
 }
@@ -115,6 +121,10 @@
             reject_request(*fault);
             return;
         }
+        if (!body_share_.grow_to(parser_->body().size())) {
+            refuse_request();
+            return;
+        }
         if (parser_->is_complete()) {
             deliver_request();
             return;
@@ -137,6 +147,7 @@
     has_sent_continue_ = false;
     parser_.emplace(
         net::message_limits{limits_.max_header_bytes, limits_.max_body_bytes});
+    body_share_ = byte_share(body_budget_);
     start_timer(to_chrono(limits_.header_timeout));
 }
 
@@ -155,15 +166,32 @@
     state_ = state::open;
     is_keep_alive_ = parser_->keeps_alive();
     supports_chunked_ = parser_->head().version() >= http_1_1;
-    caller_request request = parser_->release();
+    caller_request request{parser_->release(), std::move(body_share_),
+                           received_at_};
     parser_.reset();
-    hooks_.on_request(*this, std::move(request), received_at_);
+    hooks_.on_request(*this, std::move(request));
 }
 
 void caller_connection::reject_request(net::message_fault fault)
+{
+    reject(format_invalid_request(status_of(fault)));
+}
+
+void caller_connection::refuse_request()
+{
+    dispatch::refuse refusal;
+    refusal.cause = dispatch::refusal::overloaded;
+    refusal.not_run = true;
+    refusal.retry_after = settings_.retry_after;
+    reject(format_refusal(refusal, true));
+}
+
+void caller_connection::reject(std::string answer)
 {
     state_ = state::open;
-    write(format_invalid_request(status_of(fault)));
+    parser_.reset();
+    body_share_ = {};
+    write(std::move(answer));
     finish(false);
 }
 
@@ -190,6 +218,11 @@
         [](const std::string& piece) { return asio::buffer(piece); });
     asio::async_write(
         socket_, pieces,
+        [self = shared_from_this(), written = std::size_t{0}](
+            const error_code& error, std::size_t total) mutable {
+            self->bytes_taken_ += total - std::exchange(written, total);
+            return error ? 0 : max_bytes_per_write;
+        },
         [self = shared_from_this()](const error_code& error, std::size_t) {
             self->on_written(error);
         });
@@ -215,6 +248,8 @@
         hooks_.on_drained();
     else if (state_ == state::closing)
         shut_down_send();
+    else if (state_ == state::idle && std::exchange(is_slow_, false))
+        start_timer(to_chrono(limits_.idle_timeout));
 }
 
 void caller_connection::finish(bool keep_alive)
@@ -222,10 +257,7 @@
     if (is_closed_)
         return;
     if (!keep_alive || closes_after_answer()) {
-        state_ = state::closing;
-        start_timer(closing_timeout);
-        if (write_queue_.empty())
-            shut_down_send();
+        close_after_answer();
         return;
     }
     state_ = state::idle;
@@ -250,11 +282,33 @@
 void caller_connection::leave()
 {
     is_leaving_ = true;
-    if (state_ == state::idle && buffer_.size() == 0) {
-        state_ = state::closing;
-        start_timer(closing_timeout);
+    if (state_ == state::idle && buffer_.size() == 0)
+        close_after_answer();
+}
+
+void caller_connection::refuse_requests()
+{
+    leave();
+    if (state_ == state::reading)
+        refuse_request();
+}
+
+void caller_connection::stop()
+{
+    // The kernel still sends what is left of an answer that was written whole.
+    if (state_ != state::open && write_queue_.empty())
+        close();
+    else
+        abort();
+}
+
+void caller_connection::close_after_answer()
+{
+    state_ = state::closing;
+    if (write_queue_.empty())
         shut_down_send();
-    }
+    else
+        start_timer(slow_caller_timeout);
 }
 
 std::size_t caller_connection::unsent_bytes() const
@@ -274,6 +328,7 @@
 
 void caller_connection::start_timer(std::chrono::milliseconds timeout)
 {
+    bytes_taken_ = 0;
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](const error_code& cancelled) {
         if (!cancelled)
@@ -286,13 +341,22 @@
     if (is_closed_ || timer_.expiry() > std::chrono::steady_clock::now())
         return;
     if (state_ == state::reading && !parser_->is_head_complete()) {
-        state_ = state::open;
-        write(format_invalid_request(http::status::request_timeout));
-        finish(false);
+        reject(format_invalid_request(http::status::request_timeout));
         return;
     }
-    if (state_ != state::open)
-        close();
+    if (state_ == state::open)
+        return;
+    if (takes_answer()) {
+        is_slow_ = true;
+        start_timer(slow_caller_timeout);
+        return;
+    }
+    stop();
+}
+
+bool caller_connection::takes_answer() const
+{
+    return !write_queue_.empty() && bytes_taken_ >= min_bytes_taken;
 }
 
 void caller_connection::on_connection_lost()
@@ -317,6 +381,7 @@
 {
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    start_timer(closing_timeout);
 }
 
 } // namespace oriolefall::forward
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -9,8 +9,10 @@
 exchange::exchange(core::request_id id, caller_request request,
                    std::shared_ptr<caller_connection> caller,
                    dependencies dependencies)
-    : id_(id), request_(std::move(request)),
-      body_(std::make_shared<const std::string>(std::move(request_.body()))),
+    : id_(id), request_(std::move(request.message.base())),
+      body_share_(std::move(request.body_share)),
+      body_(std::make_shared<const std::string>(
+          std::move(request.message.body()))),
       caller_(std::move(caller)), dependencies_(std::move(dependencies)),
       stall_timer_(dependencies_.context)
 {
@@ -33,6 +35,7 @@
         report_not_run(dispatch::not_run_cause::withheld);
         return;
     }
+    has_called_ = true;
     start_stall_timer(action.first_event_timeout);
     server_ = dependencies_.servers.start(action, body_,
                                           make_call_hooks(action.call));
@@ -83,18 +86,18 @@
         server_->resume();
 }
 
-void exchange::abort()
+void exchange::give_up()
 {
     if (is_finished_)
         return;
-    abort_call();
-    caller_->abort();
-    finish(false);
-}
-
-std::size_t exchange::request_body_bytes() const
-{
-    return body_->size();
+    dependencies_.report(dispatch::caller_left{id_});
+    dispatch::refuse refusal;
+    refusal.id = id_;
+    refusal.cause = has_called_ ? dispatch::refusal::time_over
+                                : dispatch::refusal::overloaded;
+    refusal.not_run = !has_called_;
+    refusal.retry_after = dependencies_.settings.retry_after;
+    execute(refusal);
 }
 
 call_hooks exchange::make_call_hooks(core::call_id call)
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -50,9 +50,9 @@
     void on_caller_disconnected();
     /// All bytes queued for the caller have been written.
     void on_caller_drained();
-    /// Closes both connections, because this instance stops.
-    void abort();
-    [[nodiscard]] std::size_t request_body_bytes() const;
+    /// Gives the request up, because this instance stops: with an error answer
+    /// where none has begun.
+    void give_up();
 
 private:
     /// How the answer of the current call is forwarded to the caller.
@@ -94,7 +94,8 @@
     void on_stall_timer();
 
     core::request_id id_;
-    caller_request request_;
+    request_head request_;
+    byte_share body_share_;
     std::shared_ptr<const std::string> body_;
     std::shared_ptr<caller_connection> caller_;
     dependencies dependencies_;
@@ -111,6 +112,8 @@
     /// True when bytes of an answer have been written to the caller.
     bool is_answer_started_ = false;
     bool has_reported_answer_ = false;
+    /// A call has been started, so that the request may have run.
+    bool has_called_ = false;
     asio::steady_timer stall_timer_;
     absl::Time sent_at_ = absl::InfinitePast();
     /// InfiniteFuture until the current call has brought an event.
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -27,8 +27,8 @@
     event_loop(forward_settings settings, protocol_hooks protocol,
                forwarder_hooks hooks)
         : settings_(std::move(settings)), protocol_(std::move(protocol)),
-          hooks_(std::move(hooks)), acceptor_(context_),
-          server_connections_(context_, settings_),
+          hooks_(std::move(hooks)), body_budget_(settings_.max_request_bytes),
+          acceptor_(context_), server_connections_(context_, settings_),
           restrictions_(settings_.max_restricted_servers),
           actions_(max_queued_actions)
     {
@@ -53,7 +53,8 @@
         });
         const auto work_guard = asio::make_work_guard(context_);
         context_.run();
-        abort_all();
+        give_up_requests();
+        close_callers();
     }
 
     bool submit(dispatch::action action)
@@ -79,6 +80,11 @@
         });
     }
 
+    void post_give_up()
+    {
+        asio::post(context_, [this] { give_up_requests(); });
+    }
+
     void stop()
     {
         context_.stop();
@@ -100,9 +106,8 @@
         // The exchange of the open request; shared by this connection's hooks.
         const auto current = std::make_shared<exchange_ptr>();
         hooks.on_request = [this, current](caller_connection& caller,
-                                           caller_request request,
-                                           absl::Time received_at) {
-            start_exchange(caller, std::move(request), received_at, *current);
+                                           caller_request request) {
+            start_exchange(caller, std::move(request), *current);
         };
         hooks.on_disconnected = [current] {
             if (const auto exchange = std::exchange(*current, nullptr))
@@ -118,7 +123,7 @@
         };
         hooks.limits = hooks_.limits;
         auto caller = std::make_shared<caller_connection>(
-            std::move(socket), settings_, std::move(hooks));
+            std::move(socket), settings_, body_budget_, std::move(hooks));
         callers_.insert(caller);
         caller_count_ = callers_.size();
         caller->start();
@@ -127,16 +132,16 @@
     }
 
     void start_exchange(caller_connection& caller, caller_request request,
-                        absl::Time received_at, exchange_ptr& current)
+                        exchange_ptr& current)
     {
         const core::request_id id(next_request_id_++);
-        dispatch::arrival arrival = protocol_.read_request(request);
+        dispatch::arrival arrival = protocol_.read_request(request.message);
         arrival.id = id;
-        arrival.received_at = received_at;
-        arrival.body_bytes = static_cast<std::uint32_t>(request.body().size());
-        const bool has_room = exchanges_.size() < settings_.max_open_requests &&
-                              request_bytes_ + request.body().size() <=
-                                  settings_.max_request_bytes;
+        arrival.received_at = request.received_at;
+        arrival.body_bytes =
+            static_cast<std::uint32_t>(request.message.body().size());
+        const bool has_room =
+            !is_refusing_ && exchanges_.size() < settings_.max_open_requests;
         current = std::make_shared<exchange>(
             id, std::move(request), caller.shared_from_this(),
             exchange::dependencies{
@@ -147,7 +152,6 @@
                     core::request_id finished) {
                     remove_exchange(finished, current);
                 }});
-        request_bytes_ += current->request_body_bytes();
         exchanges_.emplace(id.value(), current);
         open_request_count_ = exchanges_.size();
         if (!has_room || !hooks_.report(std::move(arrival)))
@@ -167,7 +171,6 @@
         const auto found = exchanges_.find(id.value());
         if (found == exchanges_.end())
             return;
-        request_bytes_ -= found->second->request_body_bytes();
         if (current == found->second)
             current = nullptr;
         // One of its functions may still be on the call stack, so it is
@@ -208,21 +211,32 @@
     void execute(const dispatch::send_crash_report&) {}
     void execute(const dispatch::send_notice_report&) {}
 
-    void abort_all()
+    void give_up_requests()
     {
+        is_refusing_ = true;
         std::vector<exchange_ptr> open;
         for (const auto& [id, each] : exchanges_)
             open.push_back(each);
         for (const exchange_ptr& each : open)
-            each->abort();
+            each->give_up();
         const auto callers = callers_;
         for (const auto& each : callers)
-            each->abort();
+            each->refuse_requests();
+    }
+
+    void close_callers()
+    {
+        const auto callers = callers_;
+        for (const auto& each : callers)
+            each->stop();
     }
 
     forward_settings settings_;
     protocol_hooks protocol_;
     forwarder_hooks hooks_;
+    /// For the bodies of requests, from their first byte on. Outlives what
+    /// waits in the context.
+    byte_budget body_budget_;
     asio::io_context context_{1};
     tcp::acceptor acceptor_;
     server_connection_pool server_connections_;
@@ -232,10 +246,10 @@
     std::atomic<bool> is_wakeup_pending_ = false;
     absl::flat_hash_set<caller_ptr> callers_;
     absl::flat_hash_map<std::uint64_t, exchange_ptr> exchanges_;
-    /// Total size of the bodies of open requests.
-    std::size_t request_bytes_ = 0;
     std::uint64_t next_request_id_ = 1;
     bool is_leaving_ = false;
+    /// No request is passed on any more.
+    bool is_refusing_ = false;
     std::atomic<std::uint64_t> caller_count_ = 0;
     std::atomic<std::uint64_t> open_request_count_ = 0;
     std::atomic<std::uint64_t> connections_opened_ = 0;
@@ -275,6 +289,11 @@
     loop_->leave(closes_listener);
 }
 
+void forwarder::give_up_requests()
+{
+    loop_->post_give_up();
+}
+
 void forwarder::stop()
 {
     loop_->stop();
--- a/oriolefall/forward/forwarder.hpp
+++ b/oriolefall/forward/forwarder.hpp
@@ -60,8 +60,11 @@
     /// Accepts no requests after the open ones; with `closes_listener` no new
     /// connections either. May be called from any thread.
     void leave(bool closes_listener);
-    /// Ends `run`, which aborts the open requests. May be called from any
-    /// thread.
+    /// Answers the open requests with errors, and cuts off answers that have
+    /// begun: their time is over. May be called from any thread.
+    void give_up_requests();
+    /// Ends `run`, which gives up the open requests and closes all
+    /// connections. May be called from any thread.
     void stop();
     /// May be called from any thread.
     [[nodiscard]] forward_counters counters() const;
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -109,9 +109,14 @@
     forwarder_->leave(closes_listener);
 }
 
-bool router::has_open_requests() const
+bool router::has_open_connections() const
 {
-    return forwarder_->counters().open_requests > 0;
+    return forwarder_->counters().callers > 0;
+}
+
+void router::give_up_requests()
+{
+    forwarder_->give_up_requests();
 }
 
 void router::stop()
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -36,7 +36,10 @@
     /// Accepts no new requests; with `closes_listener` no new connections
     /// either. Open requests are finished.
     void stop_accepting(bool closes_listener);
-    [[nodiscard]] bool has_open_requests() const;
+    /// True while a caller sends a request, waits for its answer or takes it.
+    [[nodiscard]] bool has_open_connections() const;
+    /// Ends the requests that are still open: their time is over.
+    void give_up_requests();
     void stop();
     void set_retry_budget(const dispatch::retry_budget_settings& retry_budget);
     observe::event_log& log();
--- a/oriolefall/router/run.cpp
+++ b/oriolefall/router/run.cpp
@@ -84,8 +84,12 @@
 
     void finish_when_drained()
     {
-        if (!router_.has_open_requests() ||
-            std::chrono::steady_clock::now() >= drain_deadline_) {
+        if (!router_.has_open_connections()) {
+            context_.stop();
+            return;
+        }
+        if (std::chrono::steady_clock::now() >= drain_deadline_) {
+            router_.give_up_requests();
             run_after(last_write_time, [this] { context_.stop(); });
             return;
         }
--- a/tests/front/raw_caller.cpp
+++ b/tests/front/raw_caller.cpp
@@ -10,9 +10,12 @@
 
 namespace oriolefall::tests {
 
-raw_caller::raw_caller(int port)
+raw_caller::raw_caller(int port, int receive_buffer_bytes)
     : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
 {
+    if (receive_buffer_bytes > 0)
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                     sizeof(receive_buffer_bytes));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
@@ -38,16 +41,25 @@
     }
 }
 
+bool raw_caller::receive()
+{
+    std::array<char, 16384> buffer{};
+    const ssize_t size = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (size > 0)
+        received_.append(buffer.data(), static_cast<std::size_t>(size));
+    return size > 0;
+}
+
+void raw_caller::read_some()
+{
+    receive();
+}
+
 std::string raw_caller::read_until(std::string_view text)
 {
-    std::array<char, 4096> buffer{};
-    while (text.empty() || received_.find(text) == std::string::npos) {
-        const ssize_t received =
-            ::recv(descriptor_, buffer.data(), buffer.size(), 0);
-        if (received <= 0)
+    while (text.empty() || received_.find(text) == std::string::npos)
+        if (!receive())
             break;
-        received_.append(buffer.data(), static_cast<std::size_t>(received));
-    }
     return received_;
 }
 
--- a/tests/front/raw_caller.hpp
+++ b/tests/front/raw_caller.hpp
@@ -11,14 +11,18 @@
 class raw_caller
 {
 public:
-    /// Connects to a port on the loopback address.
-    explicit raw_caller(int port);
+    /// Connects to a port on the loopback address. `receive_buffer_bytes`:
+    /// approximate size of the kernel's receive buffer (SO_RCVBUF); 0 for its
+    /// default.
+    explicit raw_caller(int port, int receive_buffer_bytes = 0);
     raw_caller(const raw_caller&) = delete;
     raw_caller& operator=(const raw_caller&) = delete;
     ~raw_caller();
 
     /// Sends all bytes, or fewer when the peer closes the connection.
     void send(std::string_view bytes) const;
+    /// Reads once what has arrived.
+    void read_some();
     /// Reads until `text` was received or the connection has ended. Returns
     /// everything received since the connection was opened.
     std::string read_until(std::string_view text);
@@ -30,6 +34,9 @@
     void close();
 
 private:
+    /// Receives once; false at the end of the connection.
+    bool receive();
+
     int descriptor_;
     std::string received_;
 };
