router: a busy deciding duty loses no settings and ends no process

Cause of the end: the ring of that duty is sized for the events of open requests, but arrivals, reports of peers and repeated "call is silent" events filled it too; a request that its caller gives up makes room for the next one before the duty has seen either. Once the ring is full, the next event of a call meets the assertion.

Change: what may be dropped fills a quarter of the ring at most (bounded_ring:: try_push_leaving); arrivals beyond it are refused (503, not run). States don't queue: the latest of each kind waits beside the ring until the duty takes it.

Tests: decide_duty/what_may_be_dropped_leaves_room_for_what_may_not, a_state_is_not_lost_to_a_full_ring (new interface; with the old one 16 of 16 arrivals were accepted and the settings refused, by reading).

--- a/oriolefall/core/bounded_ring.hpp
+++ b/oriolefall/core/bounded_ring.hpp
@@ -89,6 +89,17 @@
         return true;
     }
 
+    /// Like `try_push`, but leaves room for `spare` more values: for a value
+    /// that may be dropped, beside others that must not be.
+    bool try_push_leaving(std::size_t spare, T value)
+    {
+        const std::lock_guard lock(mutex_);
+        if (closed_ || count_ + reserved_ + spare >= slots_.size())
+            return false;
+        put(std::move(value));
+        return true;
+    }
+
     /// Blocks while the ring is full. Returns false if it is closed.
     bool push(T value)
     {
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -11,10 +11,24 @@
 namespace {
 
 constexpr std::size_t max_batch_size = 256;
+/// Events that may be dropped fill this part of the ring at most: one in so
+/// many.
+constexpr std::size_t droppable_part = 4;
 /// Time until actions that found the forwarding queue full are submitted
 /// again.
 constexpr absl::Duration resubmit_interval = absl::Milliseconds(5);
 
+/// True for what is made up for: an arrival is refused, a silent call is told
+/// again, and the next report of a peer has what this one had.
+bool may_be_dropped(const dispatch::event& event)
+{
+    return std::holds_alternative<dispatch::arrival>(event) ||
+           std::holds_alternative<dispatch::call_silent>(event) ||
+           std::holds_alternative<dispatch::load_report_received>(event) ||
+           std::holds_alternative<dispatch::crash_report_received>(event) ||
+           std::holds_alternative<dispatch::notice_report_received>(event);
+}
+
 } // namespace
 
 decide_duty::decide_duty(dispatch::dispatch_settings settings,
@@ -43,9 +57,63 @@
 
 bool decide_duty::try_post(dispatch::event event)
 {
+    if (may_be_dropped(event)) {
+        const std::size_t spare =
+            events_.capacity() - events_.capacity() / droppable_part;
+        return events_.try_push_leaving(spare, std::move(event));
+    }
     return events_.try_push(std::move(event));
 }
 
+void decide_duty::post_state(dispatch::routes_changed routes)
+{
+    replace(&new_states::routes, std::move(routes));
+}
+
+void decide_duty::post_state(dispatch::servers_changed servers)
+{
+    replace(&new_states::servers, std::move(servers));
+}
+
+void decide_duty::post_state(dispatch::fleet_changed fleet)
+{
+    replace(&new_states::fleet, std::move(fleet));
+}
+
+void decide_duty::post_state(dispatch::retry_budget_changed budget)
+{
+    replace(&new_states::retry_budget, std::move(budget));
+}
+
+template <class State>
+void decide_duty::replace(std::optional<State> new_states::*known, State state)
+{
+    {
+        const std::lock_guard lock(new_states_mutex_);
+        new_states_.*known = std::move(state);
+    }
+    // A full ring needs no further event: the thread looks at the states before
+    // each batch.
+    static_cast<void>(events_.try_push(dispatch::tick{}));
+}
+
+void decide_duty::apply_new_states(absl::Time now)
+{
+    new_states fresh;
+    {
+        const std::lock_guard lock(new_states_mutex_);
+        std::swap(fresh, new_states_);
+    }
+    const auto apply = [this, now](const auto& state) {
+        if (state)
+            dispatcher_.step(now, *state, actions_);
+    };
+    apply(fresh.routes);
+    apply(fresh.servers);
+    apply(fresh.fleet);
+    apply(fresh.retry_budget);
+}
+
 void decide_duty::run()
 {
     std::vector<dispatch::event> batch;
@@ -57,6 +125,7 @@
         if (!events_.pop_some(batch, max_batch_size, core::to_steady(wake_at)))
             return;
         const absl::Time now = core::monotonic_now();
+        apply_new_states(now);
         for (const dispatch::event& event : batch)
             dispatcher_.step(now, event, actions_);
         batch.clear();
--- a/oriolefall/router/decide_duty.hpp
+++ b/oriolefall/router/decide_duty.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <mutex>
 #include <optional>
 
 namespace oriolefall::router {
@@ -44,16 +45,39 @@
 
     void start();
     void stop();
-    /// Never blocks; false when the ring is full. Thread-safe.
+    /// Never blocks; false when the event is dropped. What tells of a call, and
+    /// what ends a request, has room while the events that may be dropped
+    /// (arrivals, reports, what is told again) fill a quarter of the ring at
+    /// most. Thread-safe.
     [[nodiscard]] bool try_post(dispatch::event event);
+    /// The latest state replaces one that the duty has not seen yet, so that
+    /// none is lost, however busy the duty is. Never blocks. Thread-safe.
+    void post_state(dispatch::routes_changed routes);
+    void post_state(dispatch::servers_changed servers);
+    void post_state(dispatch::fleet_changed fleet);
+    void post_state(dispatch::retry_budget_changed budget);
 
 private:
+    /// States that the duty has not seen yet.
+    struct new_states
+    {
+        std::optional<dispatch::routes_changed> routes;
+        std::optional<dispatch::servers_changed> servers;
+        std::optional<dispatch::fleet_changed> fleet;
+        std::optional<dispatch::retry_budget_changed> retry_budget;
+    };
+
     void run();
+    template <class State>
+    void replace(std::optional<State> new_states::*known, State state);
+    void apply_new_states(absl::Time now);
     void execute_actions();
 
     dispatch::dispatcher dispatcher_;
     hooks hooks_;
     core::bounded_ring<dispatch::event> events_;
+    std::mutex new_states_mutex_;
+    new_states new_states_;
     /// Actions that wait until the forwarding duty has room for them.
     std::deque<dispatch::action> pending_actions_;
     std::vector<dispatch::action> actions_;
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -132,8 +132,7 @@
 void router::set_retry_budget(
     const dispatch::retry_budget_settings& retry_budget)
 {
-    if (!decide_duty_->try_post(dispatch::retry_budget_changed{retry_budget}))
-        log_.write("repeats_not_told", {});
+    decide_duty_->post_state(dispatch::retry_budget_changed{retry_budget});
 }
 
 observe::event_log& router::log()
@@ -266,15 +265,13 @@
     limits_.set(std::make_shared<const routing::caller_limits>(parsed->limits));
     route_table_ =
         std::make_shared<const routing::route_table>(std::move(*parsed));
-    const bool is_posted =
-        decide_duty_->try_post(dispatch::routes_changed{route_table_});
-    has_routes_ = has_routes_ || is_posted;
+    decide_duty_->post_state(dispatch::routes_changed{route_table_});
+    has_routes_ = true;
     const auto& active = route_table_->settings();
     metrics_.set_settings_version(active.version);
     log_.write("settings_in_force",
                {{"version", std::to_string(active.version)},
-                {"routes", std::to_string(active.routes.size())},
-                {"told", is_posted ? "yes" : "no"}});
+                {"routes", std::to_string(active.routes.size())}});
 }
 
 void router::log_older_settings(std::uint64_t version)
@@ -304,8 +301,8 @@
                {{"count", std::to_string(change.servers->size())},
                 {"leaving", std::to_string(draining_count)},
                 {"doubtful", std::to_string(stale_count)}});
-    const bool is_posted = decide_duty_->try_post(std::move(change));
-    has_servers_ = has_servers_ || is_posted;
+    decide_duty_->post_state(std::move(change));
+    has_servers_ = true;
 }
 
 void router::on_instances(const std::vector<follow::stored_object>& objects)
@@ -343,9 +340,8 @@
     metrics_.set_instances(participant_count);
     const std::uint32_t budget_share_count =
         peak_instance_count_.update(core::monotonic_now(), participant_count);
-    if (!decide_duty_->try_post(
-            dispatch::fleet_changed{budget_share_count, participants}))
-        log_.write("fleet_size_not_told", {});
+    decide_duty_->post_state(
+        dispatch::fleet_changed{budget_share_count, std::move(participants)});
 }
 
 void router::log_member_changes(const std::vector<membership::member>& before,
--- /dev/null
+++ b/tests/router/decide_duty_test.cpp
@@ -0,0 +1,118 @@
+#include "oriolefall/router/decide_duty.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using router::decide_duty;
+
+namespace {
+
+constexpr std::size_t capacity = 16;
+
+dispatch::arrival arrival(std::uint64_t id)
+{
+    dispatch::arrival made;
+    made.id = core::request_id(id);
+    made.host = "h.example";
+    made.path = "/a/";
+    return made;
+}
+
+/// A duty whose refusals are collected.
+class duty_under_test
+{
+public:
+    duty_under_test()
+        : duty({}, {dispatch::expected_time_cost({}), [] { return 0U; }},
+               make_hooks(), capacity)
+    {
+    }
+
+    std::vector<dispatch::refusal> wait_for_refusals(std::size_t count)
+    {
+        for (int i = 0; i < 500; ++i) {
+            {
+                const std::lock_guard lock(mutex_);
+                if (causes_.size() >= count)
+                    return causes_;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return {};
+    }
+
+private:
+    decide_duty::hooks make_hooks()
+    {
+        decide_duty::hooks hooks;
+        hooks.submit = [this](const dispatch::action& action) {
+            const std::lock_guard lock(mutex_);
+            if (const auto* refused = std::get_if<dispatch::refuse>(&action))
+                causes_.push_back(refused->cause);
+            return true;
+        };
+        hooks.record_decision = [](const auto&) {};
+        hooks.record_ejection = [](const auto&) {};
+        hooks.record_quarantine = [](const auto&) {};
+        hooks.record_rate_limit = [](const auto&) {};
+        hooks.record_notice = [](const auto&) {};
+        hooks.send_load_report = [](const auto&) {};
+        hooks.send_crash_report = [](const auto&) {};
+        hooks.send_notice_report = [](const auto&) {};
+        return hooks;
+    }
+
+    std::mutex mutex_;
+    std::vector<dispatch::refusal> causes_;
+
+public:
+    decide_duty duty;
+};
+
+} // namespace
+
+// A busy deciding thread let arrivals and reports of peers fill its ring; the
+// next event of a call met an assertion, and the process ended.
+Test(decide_duty, what_may_be_dropped_leaves_room_for_what_may_not)
+{
+    duty_under_test test;
+    std::size_t accepted = 0;
+    for (std::uint64_t id = 1; id <= capacity; ++id)
+        accepted += test.duty.try_post(arrival(id)) ? 1 : 0;
+    cr_assert_eq(accepted, capacity / 4);
+    cr_assert_not(test.duty.try_post(dispatch::load_report_received{}));
+    for (std::size_t i = accepted; i < capacity; ++i)
+        cr_assert(test.duty.try_post(
+            dispatch::caller_left{core::request_id(1000 + i)}));
+}
+
+// New settings, and servers that leave, were dropped by a full ring and never
+// told again.
+Test(decide_duty, a_state_is_not_lost_to_a_full_ring)
+{
+    duty_under_test test;
+    cr_assert(test.duty.try_post(arrival(1)));
+    for (std::size_t i = 1; i < capacity; ++i)
+        cr_assert(test.duty.try_post(
+            dispatch::caller_left{core::request_id(1000 + i)}));
+    for (std::uint64_t version = 1; version <= 3; ++version) {
+        routing::route_settings settings;
+        settings.version = version;
+        test.duty.post_state(dispatch::routes_changed{
+            std::make_shared<const routing::route_table>(settings)});
+    }
+    test.duty.post_state(dispatch::servers_changed{
+        std::make_shared<const std::vector<dispatch::server_entry>>(), {}});
+    test.duty.start();
+    const auto causes = test.wait_for_refusals(1);
+    cr_assert_eq(causes.size(), 1);
+    cr_assert(causes[0] == dispatch::refusal::unknown_route);
+}
