router: an address that is in use is waited for at the start

Operators saw: a process that is started while the one before it still drains (or while anything else has its port) ended with status 1 within a second, with a message that named neither address nor error; its restarts ended the same way.

Cause: the ports of callers, readiness checks and the directory were tried once. That of the peers was tried once too, and an instance that did not get it worked alone for good.

Change: an address in use is tried again every 100 ms for the shutdown timeout and 2 s; a log line (not_listening) names address and cause, and so does the message at the end. Other errors end the start at once. The peers' port is tried again with each change in the store.

--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -34,7 +34,7 @@
     {
     }
 
-    bool listen()
+    error_code listen()
     {
         return net::open_acceptor(acceptor_, settings_.listen, accept_backlog);
     }
@@ -265,7 +265,7 @@
 
 forwarder::~forwarder() = default;
 
-bool forwarder::listen()
+error_code forwarder::listen()
 {
     return loop_->listen();
 }
--- a/oriolefall/forward/forwarder.hpp
+++ b/oriolefall/forward/forwarder.hpp
@@ -19,8 +19,8 @@
 /// What the forwarding duty needs from other duties.
 struct forwarder_hooks
 {
-    /// Reports an event to the deciding duty; false when it is dropped. None but
-    /// arrivals and silent calls may be dropped while at most
+    /// Reports an event to the deciding duty; false when it is dropped. None
+    /// but arrivals and silent calls may be dropped while at most
     /// `max_open_requests` requests are open.
     std::function<bool(dispatch::event)> report;
     /// Returns the limits for callers currently in force.
@@ -48,8 +48,8 @@
     forwarder(const forwarder&) = delete;
     forwarder& operator=(const forwarder&) = delete;
 
-    /// Starts to listen. False when the address can't be bound.
-    [[nodiscard]] bool listen();
+    /// Starts to listen; may be called again after an error.
+    [[nodiscard]] error_code listen();
     [[nodiscard]] std::uint16_t port() const;
     /// Runs the duty on the calling thread until `stop` is called.
     void run();
--- a/oriolefall/net/acceptor.cpp
+++ b/oriolefall/net/acceptor.cpp
@@ -13,13 +13,13 @@
 
 } // namespace
 
-bool open_acceptor(tcp::acceptor& acceptor, const core::endpoint& endpoint,
-                   int backlog)
+error_code open_acceptor(tcp::acceptor& acceptor,
+                         const core::endpoint& endpoint, int backlog)
 {
     error_code error;
     const auto address = asio::ip::make_address(endpoint.address, error);
     if (error)
-        return false;
+        return error;
     const tcp::endpoint local_endpoint(address, endpoint.port);
     acceptor.open(local_endpoint.protocol(), error);
     if (!error)
@@ -28,7 +28,11 @@
         acceptor.bind(local_endpoint, error);
     if (!error)
         acceptor.listen(backlog, error);
-    return !error;
+    if (error) {
+        error_code ignored;
+        acceptor.close(ignored);
+    }
+    return error;
 }
 
 void accept_connections(tcp::acceptor& acceptor,
--- a/oriolefall/net/acceptor.hpp
+++ b/oriolefall/net/acceptor.hpp
@@ -10,9 +10,10 @@
 
 /// Listens at `endpoint`, even while connections of an earlier process are in
 /// TIME_WAIT there. `backlog`: maximum number of connections that wait to be
-/// accepted. False when the address can't be bound.
-[[nodiscard]] bool open_acceptor(tcp::acceptor& acceptor,
-                                 const core::endpoint& endpoint, int backlog);
+/// accepted. On an error the acceptor stays closed, and may be opened again.
+[[nodiscard]] error_code open_acceptor(tcp::acceptor& acceptor,
+                                       const core::endpoint& endpoint,
+                                       int backlog);
 
 /// Passes each new connection to `on_accepted` until the acceptor is closed.
 /// When accepting fails, mostly because no file descriptors are left, it tries
--- a/oriolefall/router/page_duty.cpp
+++ b/oriolefall/router/page_duty.cpp
@@ -107,16 +107,17 @@
     stop();
 }
 
-bool page_duty::listen(const core::endpoint& endpoint)
+error_code page_duty::listen(const core::endpoint& endpoint)
 {
     auto acceptor = std::make_unique<tcp::acceptor>(context_);
-    if (!net::open_acceptor(*acceptor, endpoint, listen_backlog))
-        return false;
+    if (const error_code error =
+            net::open_acceptor(*acceptor, endpoint, listen_backlog))
+        return error;
     net::accept_connections(*acceptor, [this](tcp::socket socket) {
         std::make_shared<session>(std::move(socket), make_page_)->read();
     });
     acceptors_.push_back(std::move(acceptor));
-    return true;
+    return {};
 }
 
 void page_duty::start()
--- a/oriolefall/router/page_duty.hpp
+++ b/oriolefall/router/page_duty.hpp
@@ -37,9 +37,9 @@
     page_duty(const page_duty&) = delete;
     page_duty& operator=(const page_duty&) = delete;
 
-    /// Listens on an additional address; false on failure. Call before
-    /// `start`.
-    [[nodiscard]] bool listen(const core::endpoint& endpoint);
+    /// Listens on an additional address; may be called again after an error.
+    /// Call before `start`.
+    [[nodiscard]] error_code listen(const core::endpoint& endpoint);
     void start();
     void stop();
 
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -3,13 +3,16 @@
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/core/text.hpp"
 #include "oriolefall/membership/watcher_choice.hpp"
+#include "oriolefall/settings/endpoint_text.hpp"
 
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <random>
 #include <set>
+#include <thread>
 #include <utility>
 
 namespace oriolefall::router {
@@ -18,6 +21,10 @@
 
 /// Maximum number of events of one open request that can be queued.
 constexpr std::size_t max_events_per_request = 6;
+/// Time beyond the shutdown timeout in which the process before this one must
+/// have left its addresses.
+constexpr absl::Duration listen_margin = absl::Seconds(2);
+constexpr std::chrono::milliseconds listen_retry_interval{100};
 
 std::function<std::uint64_t()> random_source()
 {
@@ -80,12 +87,21 @@
     stop();
 }
 
-bool router::start()
+std::optional<listen_failure> router::start()
 {
-    if (!forwarder_->listen() ||
-        !page_duty_->listen(settings_.readiness_endpoint) ||
-        !page_duty_->listen(settings_.directory_endpoint))
-        return false;
+    const auto give_up_at =
+        std::chrono::steady_clock::now() +
+        absl::ToChronoMilliseconds(settings_.shutdown_timeout + listen_margin);
+    const std::array<std::pair<core::endpoint, listen_call>, 3> listeners{
+        {{settings_.forward.listen, [this] { return forwarder_->listen(); }},
+         {settings_.readiness_endpoint,
+          [this] { return page_duty_->listen(settings_.readiness_endpoint); }},
+         {settings_.directory_endpoint, [this] {
+              return page_duty_->listen(settings_.directory_endpoint);
+          }}}};
+    for (const auto& [address, listen] : listeners)
+        if (auto failure = listen_when_free(address, listen, give_up_at))
+            return failure;
     decide_duty_->start();
     forward_thread_.emplace("forward", [this] { forwarder_->run(); });
     page_duty_->start();
@@ -93,7 +109,26 @@
                         settings_.instance.value(),
                         hooks_.print_member(self())});
     log_.write("started", {});
-    return true;
+    return std::nullopt;
+}
+
+std::optional<listen_failure>
+router::listen_when_free(const core::endpoint& address,
+                         const listen_call& listen,
+                         std::chrono::steady_clock::time_point give_up_at)
+{
+    bool is_first = true;
+    while (const error_code error = listen()) {
+        if (std::exchange(is_first, false))
+            log_.write("not_listening",
+                       {{"address", settings::format_endpoint(address)},
+                        {"cause", error.message()}});
+        if (error != asio::error::address_in_use ||
+            std::chrono::steady_clock::now() >= give_up_at)
+            return listen_failure{address, error.message()};
+        std::this_thread::sleep_for(listen_retry_interval);
+    }
+    return std::nullopt;
 }
 
 void router::leave()
@@ -375,11 +410,14 @@
 
 void router::join_when_ready()
 {
-    if (!is_ready() || has_joined_.exchange(true))
+    if (!is_ready() || has_joined_)
         return;
-    if (!control_duty_->start())
+    if (!std::exchange(has_logged_ready_, true))
+        log_.write("ready", {});
+    // Tried again with the next change in the store.
+    has_joined_ = control_duty_->start();
+    if (!has_joined_)
         log_.write("peers_not_listening", {});
-    log_.write("ready", {});
 }
 
 membership::member router::self() const
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -14,11 +14,24 @@
 #include "oriolefall/router/server_reader.hpp"
 
 #include <atomic>
+#include <chrono>
+#include <compare>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace oriolefall::router {
 
+/// An address at which an instance can't listen.
+struct listen_failure
+{
+    core::endpoint address;
+    /// For logs and messages.
+    std::string cause;
+    std::strong_ordering operator<=>(const listen_failure&) const = default;
+};
+
 /// One instance of the router: owns its duties and connects them.
 class router
 {
@@ -28,8 +41,10 @@
     router(const router&) = delete;
     router& operator=(const router&) = delete;
 
-    /// False when listening on an address failed.
-    [[nodiscard]] bool start();
+    /// Starts the duties. An address that is in use, as by the process before
+    /// this one, which may still be draining, is waited for. Fails when an
+    /// address can't be listened at.
+    [[nodiscard]] std::optional<listen_failure> start();
     /// Removes this instance from the addresses given to callers; requests are
     /// still answered.
     void leave();
@@ -45,6 +60,11 @@
     observe::event_log& log();
 
 private:
+    using listen_call = std::function<error_code()>;
+    /// Calls `listen` until the address is free or `give_up_at` has come.
+    [[nodiscard]] std::optional<listen_failure>
+    listen_when_free(const core::endpoint& address, const listen_call& listen,
+                     std::chrono::steady_clock::time_point give_up_at);
     [[nodiscard]] follow::store_duty_hooks store_hooks();
     [[nodiscard]] peer::control_hooks control_hooks();
     void on_settings(const follow::collection_view& view);
@@ -84,6 +104,8 @@
     std::atomic<bool> has_servers_ = false;
     std::atomic<bool> is_leaving_ = false;
     std::atomic<bool> has_joined_ = false;
+    /// Used on the store thread only.
+    bool has_logged_ready_ = false;
     /// Peak of the number of instances. Unreachable instances may still spend
     /// their share of the retry budget, so they count for longer than
     /// partitions between regions last.
--- a/oriolefall/router/run.cpp
+++ b/oriolefall/router/run.cpp
@@ -129,9 +129,10 @@
     // Writing to a connection that the peer closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     router instance(settings, hooks);
-    if (!instance.start()) {
-        std::cerr << "oriolefall: cannot listen at the addresses of the "
-                     "settings\n";
+    if (const auto failure = instance.start()) {
+        std::cerr << "oriolefall: cannot listen at " << failure->address.address
+                  << ":" << failure->address.port << ": " << failure->cause
+                  << "\n";
         return EXIT_FAILURE;
     }
     main_duty(settings, instance, reload).run();
--- a/tests/forward/forwarder_fixture.cpp
+++ b/tests/forward/forwarder_fixture.cpp
@@ -40,7 +40,7 @@
                  [] { return routing::caller_limits{}; }}),
       events_(event_capacity)
 {
-    if (!forwarder.listen())
+    if (forwarder.listen())
         throw std::runtime_error("cannot listen");
     thread_.emplace("forward", [this] { forwarder.run(); });
 }
