--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -24,7 +24,6 @@
 {
     return std::holds_alternative<dispatch::arrival>(event) ||
            std::holds_alternative<dispatch::call_silent>(event) ||
-           std::holds_alternative<dispatch::load_report_received>(event) ||
            std::holds_alternative<dispatch::crash_report_received>(event) ||
            std::holds_alternative<dispatch::notice_report_received>(event);
 }
@@ -92,6 +91,24 @@
         const std::lock_guard lock(new_states_mutex_);
         new_states_.*known = std::move(state);
     }
+    wake();
+}
+
+void decide_duty::post_state(dispatch::load_report_received load)
+{
+    bool is_first = false;
+    {
+        const std::lock_guard lock(new_states_mutex_);
+        is_first = new_states_.loads.empty();
+        const core::instance_id from = load.from;
+        new_states_.loads.insert_or_assign(from, std::move(load));
+    }
+    if (is_first)
+        wake();
+}
+
+void decide_duty::wake()
+{
     // A full ring needs no further event: the thread looks at the states before
     // each batch.
     static_cast<void>(events_.try_push(dispatch::tick{}));
@@ -112,6 +129,8 @@
     apply(fresh.servers);
     apply(fresh.fleet);
     apply(fresh.retry_budget);
+    for (const auto& [from, load] : fresh.loads)
+        dispatcher_.step(now, load, actions_);
 }
 
 void decide_duty::run()
--- a/oriolefall/router/decide_duty.hpp
+++ b/oriolefall/router/decide_duty.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 
@@ -56,6 +57,9 @@
     void post_state(dispatch::servers_changed servers);
     void post_state(dispatch::fleet_changed fleet);
     void post_state(dispatch::retry_budget_changed budget);
+    /// An instance that is linked to a hundred others hears hundreds of loads a
+    /// second: of each of them only the latest counts.
+    void post_state(dispatch::load_report_received load);
 
 private:
     /// States that the duty has not seen yet.
@@ -65,11 +69,14 @@
         std::optional<dispatch::servers_changed> servers;
         std::optional<dispatch::fleet_changed> fleet;
         std::optional<dispatch::retry_budget_changed> retry_budget;
+        /// By the instance that reports.
+        std::map<core::instance_id, dispatch::load_report_received> loads;
     };
 
     void run();
     template <class State>
     void replace(std::optional<State> new_states::*known, State state);
+    void wake();
     void apply_new_states(absl::Time now);
     void execute_actions();
 
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -239,8 +239,8 @@
     // What is lost to a full ring is made up for by the next report or query.
     if (const auto* report =
             std::get_if<dispatch::load_report>(&message.message))
-        static_cast<void>(decide_duty_->try_post(
-            dispatch::load_report_received{message.from, *report}));
+        decide_duty_->post_state(
+            dispatch::load_report_received{message.from, *report});
     else if (const auto* crashes =
                  std::get_if<dispatch::crash_report>(&message.message))
         static_cast<void>(
