Bounds and guards on the other paths that read what others send

Tests: wire/an_unreadable_object_hides_no_other, settings/what_is_nested_too_deep_is_a_ fault, json_fields/numbers_beyond_their_type_are_held_at_its_bound (not run on the code before).

--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/follow/store_duty.hpp"
 
 #include "oriolefall/core/clock.hpp"
+#include "oriolefall/net/guarded.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -252,8 +253,12 @@
     call_result read_result;
     std::optional<std::uint64_t> epoch;
     if (const auto* answer = std::get_if<store_answer>(&result)) {
-        read_result = protocol_.parse(call, *answer);
-        epoch = protocol_.epoch(*answer);
+        const bool is_read = net::run_guarded([&] {
+            epoch = protocol_.epoch(*answer);
+            read_result = protocol_.parse(call, *answer);
+        });
+        if (!is_read)
+            read_result = call_failed{"unreadable answer"};
     } else {
         read_result = call_failed{std::get<store_failure>(result).cause};
     }
--- a/oriolefall/objects/wire.cpp
+++ b/oriolefall/objects/wire.cpp
@@ -1,9 +1,14 @@
 #include "oriolefall/objects/wire.hpp"
 
-#include <nlohmann/json.hpp>
+#include "oriolefall/json_text/json_text.hpp"
+#include "oriolefall/json_text/value_slices.hpp"
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace oriolefall::objects::wire {
 
@@ -19,11 +24,11 @@
 std::optional<T> decode(const std::string& body,
                         const std::function<T(const json&)>& read)
 {
-    const json parsed = json::parse(body, nullptr, false);
-    if (parsed.is_discarded())
+    const auto parsed = json_text::parse(body);
+    if (!parsed)
         return std::nullopt;
     try {
-        return read(parsed);
+        return read(*parsed);
     } catch (const json::exception&) {
         return std::nullopt;
     }
@@ -42,7 +47,7 @@
         value.erase(write_id_key);
         value.erase(replaced_key);
     }
-    object.value = value.dump();
+    object.value = json_text::print(value);
     return object;
 }
 
@@ -79,13 +84,42 @@
     return list;
 }
 
+std::optional<std::uint64_t> revision_of(std::string_view body)
+{
+    const auto text = json_text::member(body, "revision");
+    const auto value = text ? json_text::parse(*text) : std::nullopt;
+    return value && value->is_number_unsigned()
+               ? std::optional(value->get<std::uint64_t>())
+               : std::nullopt;
+}
+
+std::optional<std::vector<std::string_view>> array_of(std::string_view body,
+                                                      std::string_view key)
+{
+    const auto text = json_text::member(body, key);
+    return text ? json_text::elements(*text) : std::nullopt;
+}
+
+/// Reads each element by itself, so that one which can't be read hides no
+/// other.
+template <class T>
+std::vector<T> read_each(const std::vector<std::string_view>& texts,
+                         T (*read)(const json&))
+{
+    std::vector<T> values;
+    for (const std::string_view text : texts)
+        if (auto value = decode<T>(std::string(text), read))
+            values.push_back(std::move(*value));
+    return values;
+}
+
 } // namespace
 
 std::optional<std::string>
 print_put(std::string_view value, const std::string& write_id,
           std::optional<std::uint64_t> replaced_version)
 {
-    json parsed = json::parse(value, nullptr, false);
+    json parsed = json_text::parse(value).value_or(json());
     if (!parsed.is_object() || parsed.contains(write_id_key) ||
         parsed.contains(replaced_key))
         return std::nullopt;
@@ -94,7 +128,7 @@
         parsed[replaced_key] = *replaced_version;
     json body;
     body["value"] = std::move(parsed);
-    return body.dump();
+    return json_text::print(body);
 }
 
 std::optional<stored_object> parse_object(const std::string& body)
@@ -104,18 +138,22 @@
 
 std::optional<object_list> parse_list(const std::string& body)
 {
-    return decode<object_list>(body, [](const json& from) {
-        return object_list{from.at("revision").get<std::uint64_t>(),
-                           to_list(from.at("objects"), to_stored_object)};
-    });
+    const auto revision = revision_of(body);
+    const auto objects = array_of(body, "objects");
+    if (!revision || !objects)
+        return std::nullopt;
+    return object_list{*revision,
+                       read_each<stored_object>(*objects, to_stored_object)};
 }
 
 std::optional<object_changes> parse_changes(const std::string& body)
 {
-    return decode<object_changes>(body, [](const json& from) {
-        return object_changes{from.at("revision").get<std::uint64_t>(),
-                              to_list(from.at("events"), to_object_change)};
-    });
+    const auto revision = revision_of(body);
+    const auto events = array_of(body, "events");
+    if (!revision || !events)
+        return std::nullopt;
+    return object_changes{*revision,
+                          read_each<object_change>(*events, to_object_change)};
 }
 
 std::optional<std::uint64_t> parse_version(const std::string& body)
@@ -143,7 +181,7 @@
         {"region", instance.location.region.value()},
         {"failure_domain", instance.location.failure_domain.value()},
         {"state", instance.leaving ? "leaving" : "live"}};
-    return body.dump();
+    return json_text::print(body);
 }
 
 } // namespace oriolefall::objects::wire
--- a/oriolefall/peer/codec.cpp
+++ b/oriolefall/peer/codec.cpp
@@ -5,6 +5,7 @@
 
 #include <msgpack.hpp>
 
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -25,9 +26,8 @@
         if (!value)
             return refusal::unknown_message;
         return *std::move(value);
-    } catch (const msgpack::unpack_error&) {
-        return refusal::malformed;
-    } catch (const msgpack::type_error&) {
+    } catch (const std::exception&) {
+        // Of msgpack, or of memory: either way the message can't be read.
         return refusal::malformed;
     }
 }
--- a/oriolefall/settings/json_text.cpp
+++ b/oriolefall/settings/json_text.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/settings/json_text.hpp"
 
 #include "oriolefall/core/concat.hpp"
+#include "oriolefall/json_text/json_text.hpp"
 
 #include <set>
 #include <string>
@@ -84,6 +85,9 @@
 
 std::variant<nlohmann::json, errors> parse_json(std::string_view text)
 {
+    if (json_text::is_nested_deeper(text, json_text::max_depth))
+        return errors{
+            {"/", "arrays and objects nested too deep", "at most 64 levels"}};
     duplicate_key_finder duplicates;
     const auto on_event = [&](int, parse_event event, nlohmann::json& parsed) {
         duplicates.on_event(event, parsed);
--- a/tests/adapter/json_fields_test.cpp
+++ b/tests/adapter/json_fields_test.cpp
@@ -34,3 +34,12 @@
     cr_assert_eq(read("-1e3"), -1000);
     cr_assert_eq(read("7.5"), std::nullopt);
 }
+
+// 2^32 slots became none, and a time beyond all clocks overflowed them.
+Test(json_fields, numbers_beyond_their_type_are_held_at_its_bound)
+{
+    const json object{{"a", std::uint64_t{1} << 32U}, {"b", 1e300}};
+    cr_assert_eq(non_negative_or(object, "a", std::uint32_t{7}),
+                 std::numeric_limits<std::uint32_t>::max());
+    cr_assert(milliseconds_field(object, "b") == absl::Hours(24 * 365));
+}
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -286,3 +286,16 @@
     cr_assert_not(settings::parse_duration("0").has_value());
     cr_assert_not(settings::parse_bytes("99999999999999GiB").has_value());
 }
+
+// Faults quote what was found; printing a value that was nested too deep
+// overflowed the stack.
+Test(settings, what_is_nested_too_deep_is_a_fault)
+{
+    const std::string nested =
+        std::string(200000, '[') + std::string(200000, ']');
+    const auto parsed =
+        settings::parse_deployment(R"({"classes":)" + nested + "}");
+    const auto* faults = std::get_if<errors>(&parsed);
+    cr_assert(faults != nullptr);
+    cr_assert_eq(faults->size(), 1);
+}
