--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -81,7 +81,7 @@
 
 void decide_duty::post_state(dispatch::retry_budget_changed budget)
 {
-    replace(&new_states::retry_budget, std::move(budget));
+    replace(&new_states::retry_budget, budget);
 }
 
 template <class State>
--- a/tests/adapter/start_test.cpp
+++ b/tests/adapter/start_test.cpp
@@ -30,7 +30,7 @@
 /// A folder of its own for each test, for settings and logs.
 std::filesystem::path make_folder(const std::string& name)
 {
-    const auto folder = build_folder() / "start" / name;
+    auto folder = build_folder() / "start" / name;
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     return folder;
--- a/tests/net/message_parser_test.cpp
+++ b/tests/net/message_parser_test.cpp
@@ -187,8 +187,9 @@
     for (const std::string& start :
          {std::string("5;a="), std::string("0\r\nA:"),
           std::string("0\r\nA: 1\r\nB: ")}) {
-        cr_assert(parse_whole<true>(chunked_request + start + filler).fault);
-        cr_assert(parse_whole<false>(chunked_answer + start + filler).fault);
+        const std::string framing = start + filler;
+        cr_assert(parse_whole<true>(chunked_request + framing).fault);
+        cr_assert(parse_whole<false>(chunked_answer + framing).fault);
     }
 }
 
