--- a/oriolefall/router/run.cpp
+++ b/oriolefall/router/run.cpp
@@ -1,10 +1,12 @@
 #include "oriolefall/router/run.hpp"
 
 #include "oriolefall/router/router.hpp"
+#include "oriolefall/settings/endpoint_text.hpp"
 
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <string>
 
 namespace oriolefall::router {
 
@@ -130,9 +132,12 @@
     std::signal(SIGPIPE, SIG_IGN);
     router instance(settings, hooks);
     if (const auto failure = instance.start()) {
-        std::cerr << "oriolefall: cannot listen at " << failure->address.address
-                  << ":" << failure->address.port << ": " << failure->cause
-                  << "\n";
+        // In one piece: the log is written beside it.
+        const std::string message =
+            "oriolefall: cannot listen at " +
+            settings::format_endpoint(failure->address) + ": " +
+            failure->cause + "\n";
+        std::cerr << message;
         return EXIT_FAILURE;
     }
     main_duty(settings, instance, reload).run();
