--- a/oriolefall/front/json_text.cpp
+++ b/oriolefall/front/json_text.cpp
@@ -1,7 +1,5 @@
 #include "oriolefall/front/json_text.hpp"
 
-#include "oriolefall/json_text/json_text.hpp"
-
 namespace oriolefall::front {
 
 using nlohmann::json;
--- a/oriolefall/json_text/json_text.cpp
+++ b/oriolefall/json_text/json_text.cpp
@@ -7,14 +7,12 @@
 bool is_nested_deeper(std::string_view text, std::size_t depth)
 {
     std::size_t open = 0;
-    for (std::size_t at = 0; at < text.size(); ++at) {
-        const char next = text[at];
-        if (next == '"') {
-            at = detail::string_end(text, at) - 1;
-        } else if (next == '[' || next == '{') {
+    for (auto at = detail::next_mark(text, 0); at < text.size();
+         at = detail::next_mark(text, at + 1)) {
+        if (detail::is_opening(text[at])) {
             if (++open > depth)
                 return true;
-        } else if ((next == ']' || next == '}') && open > 0) {
+        } else if (detail::is_closing(text[at]) && open > 0) {
             --open;
         }
     }
@@ -31,6 +29,14 @@
     return value;
 }
 
+std::optional<std::uint64_t> parse_unsigned(std::string_view text)
+{
+    const auto value = parse(text);
+    return value && value->is_number_unsigned()
+               ? std::optional(value->get<std::uint64_t>())
+               : std::nullopt;
+}
+
 std::string print(const nlohmann::json& value)
 {
     constexpr int compact = -1;
--- a/oriolefall/json_text/json_text.hpp
+++ b/oriolefall/json_text/json_text.hpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,10 @@
 /// out of range. Thread-safe.
 [[nodiscard]] std::optional<nlohmann::json> parse(std::string_view text);
 
+/// Parses an integer that isn't negative, with the same bounds. Thread-safe.
+[[nodiscard]] std::optional<std::uint64_t>
+parse_unsigned(std::string_view text);
+
 /// Prints a value without whitespace. Bytes that are not UTF-8 are replaced by
 /// U+FFFD. Thread-safe.
 [[nodiscard]] std::string print(const nlohmann::json& value);
--- a/oriolefall/json_text/value_slices.cpp
+++ b/oriolefall/json_text/value_slices.cpp
@@ -29,17 +29,15 @@
     std::vector<std::string_view> found;
     std::size_t begin = 0;
     std::size_t open = 0;
-    for (std::size_t at = 0; at < inner.size(); ++at) {
-        const char next = inner[at];
-        if (next == '"') {
-            at = detail::string_end(inner, at) - 1;
-        } else if (next == '[' || next == '{') {
+    for (auto at = detail::next_mark(inner, 0); at < inner.size();
+         at = detail::next_mark(inner, at + 1)) {
+        if (detail::is_opening(inner[at])) {
             ++open;
-        } else if (next == ']' || next == '}') {
+        } else if (detail::is_closing(inner[at])) {
             // The brackets at both ends of the text don't belong together.
             if (open-- == 0)
                 return std::nullopt;
-        } else if (next == ',' && open == 0) {
+        } else if (open == 0) {
             found.push_back(trim(inner.substr(begin, at - begin)));
             begin = at + 1;
         }
@@ -75,6 +73,24 @@
     return std::nullopt;
 }
 
+std::optional<std::vector<std::string_view>>
+member_elements(std::string_view text, std::string_view key)
+{
+    const auto array = member(text, key);
+    return array ? elements(*array) : std::nullopt;
+}
+
+std::size_t detail::next_mark(std::string_view text, std::size_t begin)
+{
+    for (std::size_t at = begin; at < text.size();) {
+        const char next = text[at];
+        if (is_opening(next) || is_closing(next) || next == ',')
+            return at;
+        at = next == '"' ? string_end(text, at) : at + 1;
+    }
+    return text.size();
+}
+
 std::size_t detail::string_end(std::string_view text, std::size_t begin)
 {
     for (std::size_t at = begin + 1; at < text.size(); ++at) {
--- a/oriolefall/json_text/value_slices.hpp
+++ b/oriolefall/json_text/value_slices.hpp
@@ -22,12 +22,30 @@
 [[nodiscard]] std::optional<std::string_view> member(std::string_view text,
                                                      std::string_view key);
 
+/// The elements of the array that such a member holds.
+[[nodiscard]] std::optional<std::vector<std::string_view>>
+member_elements(std::string_view text, std::string_view key);
+
 namespace detail {
 
 /// Position after the string that begins at `begin`; the end of the text if it
 /// has no end.
 [[nodiscard]] std::size_t string_end(std::string_view text, std::size_t begin);
 
+/// Position of the first bracket or comma outside of strings, from `begin` on;
+/// the end of the text if there is none. `begin` must not be in a string.
+[[nodiscard]] std::size_t next_mark(std::string_view text, std::size_t begin);
+
+[[nodiscard]] inline bool is_opening(char mark)
+{
+    return mark == '[' || mark == '{';
+}
+
+[[nodiscard]] inline bool is_closing(char mark)
+{
+    return mark == ']' || mark == '}';
+}
+
 } // namespace detail
 
 } // namespace oriolefall::json_text
--- a/oriolefall/objects/wire.cpp
+++ b/oriolefall/objects/wire.cpp
@@ -21,7 +21,7 @@
 
 /// Parses `body` and applies `read` to it; empty when either fails.
 template <class T>
-std::optional<T> decode(const std::string& body,
+std::optional<T> decode(std::string_view body,
                         const std::function<T(const json&)>& read)
 {
     const auto parsed = json_text::parse(body);
@@ -84,33 +84,22 @@
     return list;
 }
 
-std::optional<std::uint64_t> revision_of(std::string_view body)
-{
-    const auto text = json_text::member(body, "revision");
-    const auto value = text ? json_text::parse(*text) : std::nullopt;
-    return value && value->is_number_unsigned()
-               ? std::optional(value->get<std::uint64_t>())
-               : std::nullopt;
-}
-
-std::optional<std::vector<std::string_view>> array_of(std::string_view body,
-                                                      std::string_view key)
-{
-    const auto text = json_text::member(body, key);
-    return text ? json_text::elements(*text) : std::nullopt;
-}
-
-/// Reads each element by itself, so that one which can't be read hides no
-/// other.
-template <class T>
-std::vector<T> read_each(const std::vector<std::string_view>& texts,
-                         T (*read)(const json&))
+/// Reads a revision and the elements of the array `key`, each by itself, so
+/// that one which can't be read hides no other. `List`: an aggregate of both.
+template <class List, class T>
+std::optional<List> read_list(std::string_view body, std::string_view key,
+                              T (*read)(const json&))
 {
+    const auto revision_text = json_text::member(body, "revision");
+    const auto revision = json_text::parse_unsigned(revision_text.value_or(""));
+    const auto texts = json_text::member_elements(body, key);
+    if (!revision || !texts)
+        return std::nullopt;
     std::vector<T> values;
-    for (const std::string_view text : texts)
-        if (auto value = decode<T>(std::string(text), read))
+    for (const std::string_view text : *texts)
+        if (auto value = decode<T>(text, read))
             values.push_back(std::move(*value));
-    return values;
+    return List{*revision, std::move(values)};
 }
 
 } // namespace
@@ -138,22 +127,12 @@
 
 std::optional<object_list> parse_list(const std::string& body)
 {
-    const auto revision = revision_of(body);
-    const auto objects = array_of(body, "objects");
-    if (!revision || !objects)
-        return std::nullopt;
-    return object_list{*revision,
-                       read_each<stored_object>(*objects, to_stored_object)};
+    return read_list<object_list>(body, "objects", to_stored_object);
 }
 
 std::optional<object_changes> parse_changes(const std::string& body)
 {
-    const auto revision = revision_of(body);
-    const auto events = array_of(body, "events");
-    if (!revision || !events)
-        return std::nullopt;
-    return object_changes{*revision,
-                          read_each<object_change>(*events, to_object_change)};
+    return read_list<object_changes>(body, "events", to_object_change);
 }
 
 std::optional<std::uint64_t> parse_version(const std::string& body)
