follow, net: an answer of the store is read in one place, guarded for each reader

The guard around the store's codec stood in store_duty alone; own_registration calls the same codec. read_answer serves both. store_connection ended a call by an empty or a full text: fail and complete now. Readers that don't look at the head first shared a loop (feed_past_head). The check of the transfer coding derives its last one without cases; received_body loses a function that nothing called.

--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -55,12 +55,9 @@
 void own_registration::on_list_page(const list_call& call,
                                     const store_result& result)
 {
-    const auto* answer = std::get_if<store_answer>(&result);
-    const call_result read_result = answer != nullptr
-                                        ? protocol_.parse(call, *answer)
-                                        : call_result(call_failed{"no answer"});
+    const auto [read_result, epoch] = read_answer(protocol_, call, result);
     const auto* page = std::get_if<list_page>(&read_result);
-    if (page == nullptr || protocol_.epoch(*answer).value_or(epoch_) < epoch_) {
+    if (page == nullptr || epoch.value_or(epoch_) < epoch_) {
         list_cursor_.clear();
         listed_objects_.clear();
         schedule_list(settings_.retry_delay);
--- a/oriolefall/follow/store_connection.cpp
+++ b/oriolefall/follow/store_connection.cpp
@@ -19,8 +19,6 @@
 constexpr std::chrono::milliseconds gap_timeout{1200};
 constexpr unsigned http_1_1 = 11;
 constexpr std::size_t read_bytes = std::size_t{64} * 1024;
-/// Cause of a failure, for the log.
-constexpr const char* malformed_answer = "malformed answer";
 
 } // namespace
 
@@ -57,7 +55,7 @@
     const auto address = asio::ip::make_address(store_.address, error);
     if (error) {
         asio::post(context_, [self = shared_from_this(), error] {
-            self->finish(error.message());
+            self->fail(error.message());
         });
         return;
     }
@@ -65,7 +63,7 @@
         tcp::endpoint(address, store_.port),
         [self = shared_from_this()](const error_code& connect_error) {
             if (connect_error) {
-                self->finish(connect_error.message());
+                self->fail(connect_error.message());
                 return;
             }
             net::set_no_delay(self->stream_->socket());
@@ -82,7 +80,7 @@
         *stream_, request_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
             if (error)
-                self->finish(error.message());
+                self->fail(error.message());
             else
                 self->receive();
         });
@@ -109,22 +107,20 @@
 {
     buffer_.commit(bytes);
     if (error == asio::error::eof && parser_->finish_at_end_of_stream()) {
-        finish({});
+        complete();
         return;
     }
     if (error) {
-        finish(error.message());
+        fail(error.message());
         return;
     }
-    net::parse_result result = parser_->feed(buffer_);
-    while (result == net::parse_result(net::parse_progress::head_complete))
-        result = parser_->feed(buffer_);
+    const net::parse_result result = parser_->feed_past_head(buffer_);
     if (std::holds_alternative<net::message_fault>(result)) {
-        finish(malformed_answer);
+        fail("malformed answer");
         return;
     }
     if (parser_->is_complete()) {
-        finish({});
+        complete();
         return;
     }
     // The first byte may take until the timeout of the call. After that only
@@ -138,15 +134,14 @@
     return std::min(timeout_, gap_timeout);
 }
 
-void store_connection::finish(const std::string& failure)
+void store_connection::fail(const std::string& cause)
+{
+    stream_.reset();
+    end_call(store_failure{cause});
+}
+
+void store_connection::complete()
 {
-    const auto on_result = std::exchange(on_result_, nullptr);
-    assert(on_result);
-    if (!failure.empty()) {
-        stream_.reset();
-        on_result(store_failure{failure});
-        return;
-    }
     // Bytes after the answer would be taken for the next one.
     const bool is_reusable = parser_->keeps_alive() && buffer_.size() == 0;
     if (is_reusable)
@@ -154,8 +149,15 @@
     else
         stream_.reset();
     net::received_answer answer = parser_->release();
-    on_result(store_answer{answer.result_int(), std::move(answer.body()),
-                           std::move(answer.base())});
+    end_call(store_answer{answer.result_int(), std::move(answer.body()),
+                          std::move(answer.base())});
+}
+
+void store_connection::end_call(store_result result)
+{
+    const auto on_result = std::exchange(on_result_, nullptr);
+    assert(on_result);
+    on_result(std::move(result));
 }
 
 } // namespace oriolefall::follow
--- a/oriolefall/follow/store_connection.hpp
+++ b/oriolefall/follow/store_connection.hpp
@@ -58,8 +58,11 @@
     void on_received(const error_code& error, std::size_t bytes);
     /// Maximum gap between two pieces of an answer.
     [[nodiscard]] std::chrono::milliseconds next_piece_timeout() const;
-    /// Ends the call; an empty `failure` means that the answer is complete.
-    void finish(const std::string& failure);
+    /// Ends the call without an answer, and closes the connection.
+    void fail(const std::string& cause);
+    /// Ends the call with the answer that the parser holds.
+    void complete();
+    void end_call(store_result result);
 
     asio::io_context& context_;
     core::endpoint store_;
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -1,7 +1,6 @@
 #include "oriolefall/follow/store_duty.hpp"
 
 #include "oriolefall/core/clock.hpp"
-#include "oriolefall/net/guarded.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -250,18 +249,7 @@
                            const read_call& call, const store_result& result)
 {
     const absl::Time now = core::monotonic_now();
-    call_result read_result;
-    std::optional<std::uint64_t> epoch;
-    if (const auto* answer = std::get_if<store_answer>(&result)) {
-        const bool is_read = net::run_guarded([&] {
-            epoch = protocol_.epoch(*answer);
-            read_result = protocol_.parse(call, *answer);
-        });
-        if (!is_read)
-            read_result = call_failed{"unreadable answer"};
-    } else {
-        read_result = call_failed{std::get<store_failure>(result).cause};
-    }
+    const auto [read_result, epoch] = read_answer(protocol_, call, result);
     const known_state before(collection.follower);
     const bool has_changed =
         collection.follower.on_result(now, read_result, epoch);
--- a/oriolefall/follow/store_protocol.hpp
+++ b/oriolefall/follow/store_protocol.hpp
@@ -37,6 +37,21 @@
         check_path;
 };
 
+/// What a read call brought.
+struct read_answer_result
+{
+    call_result result;
+    /// Era of the store, if the answer names it.
+    std::optional<std::uint64_t> epoch;
+    auto operator<=>(const read_answer_result&) const = default;
+};
+
+/// Reads the answer to a read call. One that can't be read is a failed call,
+/// whatever the hooks throw.
+[[nodiscard]] read_answer_result read_answer(const store_protocol& protocol,
+                                             const read_call& call,
+                                             const store_result& result);
+
 } // namespace oriolefall::follow
 
 #endif
--- a/oriolefall/net/message_parser.cpp
+++ b/oriolefall/net/message_parser.cpp
@@ -76,6 +76,15 @@
     }
 }
 
+template <bool IsRequest>
+parse_result
+message_parser<IsRequest>::feed_past_head(boost::beast::flat_buffer& buffer)
+{
+    const parse_result result = feed(buffer);
+    return result == parse_result(parse_progress::head_complete) ? feed(buffer)
+                                                                 : result;
+}
+
 template <bool IsRequest>
 parse_result message_parser<IsRequest>::parse(boost::beast::flat_buffer& buffer)
 {
@@ -120,16 +129,12 @@
     if (first == last)
         return std::nullopt;
     const std::string_view codings = to_std(std::prev(last)->value());
-    const auto comma = codings.rfind(',');
-    const bool is_single =
-        comma == std::string_view::npos && std::next(first) == last;
+    // Without a comma all of it: npos + 1 is 0.
     const std::string_view final_coding =
-        is_single || comma == std::string_view::npos
-            ? codings
-            : codings.substr(comma + 1);
+        codings.substr(codings.rfind(',') + 1);
     if (!is_chunked_coding(final_coding) || parser_.get().version() < http_1_1)
         return message_fault::malformed;
-    if (!is_single)
+    if (final_coding.size() < codings.size() || std::next(first) != last)
         return message_fault::unsupported_coding;
     return std::nullopt;
 }
--- a/oriolefall/net/message_parser.hpp
+++ b/oriolefall/net/message_parser.hpp
@@ -62,6 +62,9 @@
     /// Parses bytes at the front of `buffer` and consumes them. After a fault
     /// the parser can't be used any more.
     [[nodiscard]] parse_result feed(boost::beast::flat_buffer& buffer);
+    /// The same, for a reader that doesn't look at the head before the body.
+    [[nodiscard]] parse_result
+    feed_past_head(boost::beast::flat_buffer& buffer);
     /// The sender has closed the connection; true if that completes the
     /// message.
     [[nodiscard]] bool finish_at_end_of_stream();
--- a/oriolefall/net/received_body.hpp
+++ b/oriolefall/net/received_body.hpp
@@ -16,11 +16,6 @@
 {
     using value_type = std::string;
 
-    static std::uint64_t size(const value_type& body)
-    {
-        return body.size();
-    }
-
     /// Appends the pieces of a body to a string.
     class reader
     {
--- a/oriolefall/router/page_duty.cpp
+++ b/oriolefall/router/page_duty.cpp
@@ -42,9 +42,7 @@
     /// with its session.
     void parse()
     {
-        net::parse_result result = parser_->feed(buffer_);
-        while (result == net::parse_result(net::parse_progress::head_complete))
-            result = parser_->feed(buffer_);
+        const net::parse_result result = parser_->feed_past_head(buffer_);
         if (std::holds_alternative<net::message_fault>(result))
             return;
         if (!parser_->is_complete())
--- a/tests/net/message_parser_test.cpp
+++ b/tests/net/message_parser_test.cpp
@@ -28,6 +28,12 @@
     std::strong_ordering operator<=>(const outcome&) const = default;
 };
 
+void append(boost::beast::flat_buffer& buffer, std::string_view bytes)
+{
+    buffer.commit(
+        asio::buffer_copy(buffer.prepare(bytes.size()), asio::buffer(bytes)));
+}
+
 /// Parses `bytes`, which arrive in pieces whose sizes `next_size` gives.
 template <bool IsRequest, class NextSize>
 outcome parse_pieces(std::string_view bytes, const message_limits& limits,
@@ -39,11 +45,8 @@
     while (!bytes.empty() && !seen.fault && !parser.is_complete()) {
         const std::string_view piece = bytes.substr(0, next_size());
         bytes.remove_prefix(piece.size());
-        buffer.commit(asio::buffer_copy(buffer.prepare(piece.size()),
-                                        asio::buffer(piece)));
-        parse_result result = parser.feed(buffer);
-        while (result == parse_result(parse_progress::head_complete))
-            result = parser.feed(buffer);
+        append(buffer, piece);
+        const parse_result result = parser.feed_past_head(buffer);
         if (const auto* fault = std::get_if<message_fault>(&result))
             seen.fault = *fault;
     }
@@ -85,8 +88,7 @@
     answer_parser parser({});
     boost::beast::flat_buffer buffer;
     const std::string bytes = head + "abc";
-    buffer.commit(
-        asio::buffer_copy(buffer.prepare(bytes.size()), asio::buffer(bytes)));
+    append(buffer, bytes);
     cr_assert(parser.feed(buffer) ==
               parse_result(parse_progress::head_complete));
     cr_assert(parser.feed(buffer) == parse_result(parse_progress::needs_more));
@@ -202,8 +204,7 @@
         answer_parser parser({});
         boost::beast::flat_buffer buffer;
         const std::string bytes = head + "ab";
-        buffer.commit(asio::buffer_copy(buffer.prepare(bytes.size()),
-                                        asio::buffer(bytes)));
+        append(buffer, bytes);
         static_cast<void>(parser.feed(buffer));
         static_cast<void>(parser.feed(buffer));
         cr_assert_eq(parser.finish_at_end_of_stream(), is_unframed);
@@ -217,8 +218,7 @@
     parser.expect_no_body();
     boost::beast::flat_buffer buffer;
     const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
-    buffer.commit(
-        asio::buffer_copy(buffer.prepare(bytes.size()), asio::buffer(bytes)));
+    append(buffer, bytes);
     static_cast<void>(parser.feed(buffer));
     cr_assert(parser.is_complete());
 }
