--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -185,8 +185,10 @@
     for (const auto& [name, object] : view_.objects)
         if (!listed_.contains(name))
             removed.push_back(name);
-    for (const std::string& name : removed)
-        remove(now, {name, list_revision_, {}}, list_revision_);
+    for (const std::string& name : removed) {
+        deletions_.record({{name, list_revision_, {}}, true}, list_revision_);
+        remove(now, name);
+    }
     for (const auto& [name, object] : listed_)
         put(object);
     listed_.clear();
@@ -250,7 +252,7 @@
         if (current == view_.objects.end() ||
             current->second.revision > object.revision)
             continue;
-        remove(now, object, known_at);
+        remove(now, object.name);
         has_changed = true;
     }
     return has_changed;
@@ -274,16 +276,14 @@
                     settings_.initial_backoff * (1U << doublings));
 }
 
-void collection_follower::remove(absl::Time now, const stored_object& deleted,
-                                 std::uint64_t known_at)
+void collection_follower::remove(absl::Time now, const std::string& name)
 {
-    const auto current = view_.objects.find(deleted.name);
+    const auto current = view_.objects.find(name);
     if (current == view_.objects.end())
         return;
     if (now < reachable_since_ + settings_.stale_timeout)
-        view_.stale.insert_or_assign(deleted.name, current->second);
+        view_.stale.insert_or_assign(name, current->second);
     view_.objects.erase(current);
-    deletions_.record({{deleted.name, deleted.revision, {}}, true}, known_at);
 }
 
 bool collection_follower::put(const stored_object& object)
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -142,8 +142,7 @@
     bool apply(absl::Time now, const std::vector<object_change>& changes,
                std::uint64_t known_at);
     bool apply_snapshot(absl::Time now, const collection_update& update);
-    void remove(absl::Time now, const stored_object& deleted,
-                std::uint64_t known_at);
+    void remove(absl::Time now, const std::string& name);
     [[nodiscard]] absl::Duration next_backoff(absl::Time now) const;
     [[nodiscard]] absl::Time next_fallback() const;
     bool put(const stored_object& object);
