dispatch: which events may be dropped is said once

The forwarding duty's assertion and the deciding duty's ring each had a list (dispatch::may_be_dropped). try_push is try_push_leaving without spare. Refusals in one statement; a getter that nothing called is gone.

--- a/oriolefall/core/bounded_ring.hpp
+++ b/oriolefall/core/bounded_ring.hpp
@@ -82,11 +82,7 @@
     /// then dropped.
     bool try_push(T value)
     {
-        const std::lock_guard lock(mutex_);
-        if (closed_ || !has_room())
-            return false;
-        put(std::move(value));
-        return true;
+        return try_push_leaving(0, std::move(value));
     }
 
     /// Like `try_push`, but leaves room for `spare` more values: for a value
@@ -94,7 +90,7 @@
     bool try_push_leaving(std::size_t spare, T value)
     {
         const std::lock_guard lock(mutex_);
-        if (closed_ || count_ + reserved_ + spare >= slots_.size())
+        if (closed_ || !has_room(spare))
             return false;
         put(std::move(value));
         return true;
@@ -198,9 +194,10 @@
     }
 
 private:
-    [[nodiscard]] bool has_room() const
+    /// For one value more, and `spare` others.
+    [[nodiscard]] bool has_room(std::size_t spare = 0) const
     {
-        return count_ + reserved_ < slots_.size();
+        return count_ + reserved_ + spare < slots_.size();
     }
 
     void put(T&& value)
--- a/oriolefall/dispatch/event.cpp
+++ b/oriolefall/dispatch/event.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/dispatch/event.hpp"
 
 #include <array>
+#include <variant>
 
 namespace oriolefall::dispatch {
 
@@ -19,4 +20,12 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
+bool may_be_dropped(const event& value)
+{
+    return std::holds_alternative<arrival>(value) ||
+           std::holds_alternative<call_silent>(value) ||
+           std::holds_alternative<crash_report_received>(value) ||
+           std::holds_alternative<notice_report_received>(value);
+}
+
 } // namespace oriolefall::dispatch
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -213,6 +213,11 @@
                  fleet_changed, load_report_received, crash_report_received,
                  notice_report_received, tick>;
 
+/// True for events that are made up for when a busy deciding duty takes no more
+/// of them: an arrival is refused, a silent call is told again, and the next
+/// report of a peer has what this one had.
+[[nodiscard]] bool may_be_dropped(const event& value);
+
 } // namespace oriolefall::dispatch
 
 #endif
--- a/oriolefall/forward/byte_budget.cpp
+++ b/oriolefall/forward/byte_budget.cpp
@@ -18,11 +18,6 @@
     used_ -= bytes;
 }
 
-std::size_t byte_budget::used() const
-{
-    return used_;
-}
-
 byte_share::~byte_share()
 {
     if (budget_ != nullptr)
--- a/oriolefall/forward/byte_budget.hpp
+++ b/oriolefall/forward/byte_budget.hpp
@@ -18,7 +18,6 @@
     /// False, without an effect, when that would exceed the limit.
     [[nodiscard]] bool try_take(std::size_t bytes);
     void give_back(std::size_t bytes);
-    [[nodiscard]] std::size_t used() const;
 
 private:
     std::size_t limit_;
--- a/oriolefall/forward/caller_connection.cpp
+++ b/oriolefall/forward/caller_connection.cpp
@@ -179,10 +179,8 @@
 
 void caller_connection::refuse_request()
 {
-    dispatch::refuse refusal;
-    refusal.cause = dispatch::refusal::overloaded;
-    refusal.not_run = true;
-    refusal.retry_after = settings_.retry_after;
+    const dispatch::refuse refusal{
+        {}, dispatch::refusal::overloaded, true, settings_.retry_after};
     reject(format_refusal(refusal, true));
 }
 
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -91,13 +91,11 @@
     if (is_finished_)
         return;
     dependencies_.report(dispatch::caller_left{id_});
-    dispatch::refuse refusal;
-    refusal.id = id_;
-    refusal.cause = has_called_ ? dispatch::refusal::time_over
-                                : dispatch::refusal::overloaded;
-    refusal.not_run = !has_called_;
-    refusal.retry_after = dependencies_.settings.retry_after;
-    execute(refusal);
+    if (has_called_)
+        execute(dispatch::refuse{id_, dispatch::refusal::time_over});
+    else
+        execute(dispatch::refuse{id_, dispatch::refusal::overloaded, true,
+                                 dependencies_.settings.retry_after});
 }
 
 call_hooks exchange::make_call_hooks(core::call_id call)
--- a/oriolefall/forward/forward_settings.hpp
+++ b/oriolefall/forward/forward_settings.hpp
@@ -18,7 +18,7 @@
     core::endpoint listen;
     /// Maximum number of open requests; further ones are refused at once.
     std::size_t max_open_requests = 2000;
-    /// Maximum total size of the bodies of open requests.
+    /// Maximum total size of the bodies of requests that arrive or are open.
     std::size_t max_request_bytes = std::size_t{48} * 1024 * 1024;
     std::size_t max_caller_connections = 3000;
     /// Unsent bytes for one caller above which its backend server is no longer
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -161,8 +161,7 @@
 
     void report(dispatch::event event)
     {
-        const bool may_be_dropped =
-            std::holds_alternative<dispatch::call_silent>(event);
+        const bool may_be_dropped = dispatch::may_be_dropped(event);
         const bool is_accepted = hooks_.report(std::move(event));
         assert(is_accepted || may_be_dropped);
     }
--- a/oriolefall/forward/forwarder.hpp
+++ b/oriolefall/forward/forwarder.hpp
@@ -19,8 +19,8 @@
 /// What the forwarding duty needs from other duties.
 struct forwarder_hooks
 {
-    /// Reports an event to the deciding duty; false when it is dropped. None
-    /// but arrivals and silent calls may be dropped while at most
+    /// Reports an event to the deciding duty; false when it is dropped. Only
+    /// events for which `dispatch::may_be_dropped` holds may be, while at most
     /// `max_open_requests` requests are open.
     std::function<bool(dispatch::event)> report;
     /// Returns the limits for callers currently in force.
--- a/oriolefall/router/decide_duty.cpp
+++ b/oriolefall/router/decide_duty.cpp
@@ -18,16 +18,6 @@
 /// again.
 constexpr absl::Duration resubmit_interval = absl::Milliseconds(5);
 
-/// True for what is made up for: an arrival is refused, a silent call is told
-/// again, and the next report of a peer has what this one had.
-bool may_be_dropped(const dispatch::event& event)
-{
-    return std::holds_alternative<dispatch::arrival>(event) ||
-           std::holds_alternative<dispatch::call_silent>(event) ||
-           std::holds_alternative<dispatch::crash_report_received>(event) ||
-           std::holds_alternative<dispatch::notice_report_received>(event);
-}
-
 } // namespace
 
 decide_duty::decide_duty(dispatch::dispatch_settings settings,
@@ -56,7 +46,7 @@
 
 bool decide_duty::try_post(dispatch::event event)
 {
-    if (may_be_dropped(event)) {
+    if (dispatch::may_be_dropped(event)) {
         const std::size_t spare =
             events_.capacity() - events_.capacity() / droppable_part;
         return events_.try_push_leaving(spare, std::move(event));
