http_call: answers that serve's clients receive are bounded

Callers and operators would have seen an instance of `serve` grow without end, or end, where an engine or the store answers without end or with a state that is no text.

Cause: cpp-httplib receives a body for as long as bytes come; the JSON library throws where a member has another type, on a worker's thread. Change: http_call::send_bounded gives up beyond a bound (64 KiB of an engine's answer to a command, 64 MiB of the store's); the answer to a command is read by json_text.

--- a/oriolefall/backend/engine_command_worker.cpp
+++ b/oriolefall/backend/engine_command_worker.cpp
@@ -1,11 +1,15 @@
 #include "oriolefall/backend/engine_command_worker.hpp"
 
 #include "oriolefall/core/clock.hpp"
+#include "oriolefall/http_call/bounded_call.hpp"
+#include "oriolefall/json_text/json_text.hpp"
+#include "oriolefall/json_text/value_slices.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace oriolefall::backend {
@@ -16,6 +20,7 @@
 
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
+constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024;
 
 void set_timeouts(httplib::Client& client, absl::Duration timeout)
 {
@@ -30,11 +35,12 @@
         return command_result::refused;
     if (!result || result->status != status_ok)
         return command_result::failed;
-    const json body = json::parse(result->body, nullptr, false);
-    if (!body.is_object())
+    const auto body = json_text::parse(result->body);
+    if (!body || !body->is_object())
         return command_result::failed;
-    return body.value("state", "") == "loaded" ? command_result::loaded
-                                               : command_result::loading;
+    const auto state = body->find("state");
+    return state != body->end() && *state == "loaded" ? command_result::loaded
+                                                      : command_result::loading;
 }
 
 /// Running and queued requests as the engine reported them, or nullopt.
@@ -42,15 +48,15 @@
 {
     if (!result || result->status != status_ok)
         return std::nullopt;
-    const json body = json::parse(result->body, nullptr, false);
-    const bool has_both = body.is_object() && body.contains("running") &&
-                          body.contains("queued") &&
-                          body["running"].is_number_unsigned() &&
-                          body["queued"].is_number_unsigned();
-    if (!has_both)
+    const auto number = [&result](std::string_view key) {
+        const auto text = json_text::member(result->body, key);
+        return json_text::parse_unsigned(text.value_or(""));
+    };
+    const auto running = number("running");
+    const auto queued = number("queued");
+    if (!running || !queued)
         return std::nullopt;
-    return body["running"].get<std::uint64_t>() +
-           body["queued"].get<std::uint64_t>();
+    return *running + *queued;
 }
 
 } // namespace
@@ -92,15 +98,24 @@
     const json body{{"order", "load_model"},
                     {"model", command.model.value()},
                     {"fencing_number", command.fencing_number}};
-    command.on_result(
-        parse_result(client.Post("/orders", body.dump(), "application/json")));
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/orders";
+    request.body = json_text::print(body);
+    request.set_header("Content-Type", "application/json");
+    command.on_result(parse_result(
+        http_call::send_bounded(client, std::move(request), max_answer_bytes)));
 }
 
 void engine_command_worker::execute(const load_query& query) const
 {
     httplib::Client client(query.endpoint.address, query.endpoint.port);
     set_timeouts(client, timeout_);
-    if (const auto running = parse_load(client.Get("/load")))
+    httplib::Request request;
+    request.method = "GET";
+    request.path = "/load";
+    if (const auto running = parse_load(http_call::send_bounded(
+            client, std::move(request), max_answer_bytes)))
         query.on_answer(*running);
 }
 
--- a/oriolefall/objects/client.cpp
+++ b/oriolefall/objects/client.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/objects/client.hpp"
 
 #include "oriolefall/core/concat.hpp"
+#include "oriolefall/http_call/bounded_call.hpp"
 #include "oriolefall/objects/http_status.hpp"
 #include "oriolefall/objects/wire.hpp"
 
@@ -19,6 +20,9 @@
 
 namespace {
 
+/// Maximum size of an answer, such as a list of all objects.
+constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
+
 /// Failure that a status code stands for; empty when the call was served.
 std::optional<failure> failure_of_status(int status)
 {
@@ -263,6 +267,20 @@
     return NoAnswer{};
 }
 
+httplib::Request make_request(const char* method, const std::string& target,
+                              httplib::Headers headers = {},
+                              std::string body = {})
+{
+    httplib::Request request;
+    request.method = method;
+    request.path = target;
+    request.headers = std::move(headers);
+    request.body = std::move(body);
+    if (!request.body.empty())
+        request.set_header("Content-Type", "application/json");
+    return request;
+}
+
 } // namespace
 
 client::raw_result client::get(const std::string& target,
@@ -270,7 +288,8 @@
 {
     http_->set_read_timeout(absl::ToChronoMicroseconds(io_timeout));
     return to_raw_result<raw_result, http_answer, not_sent, no_answer>(
-        http_->Get(target));
+        http_call::send_bounded(*http_, make_request("GET", target),
+                                max_answer_bytes));
 }
 
 client::raw_call client::get_call(const std::string& target)
@@ -286,7 +305,9 @@
         http_->set_read_timeout(
             absl::ToChronoMicroseconds(settings_.io_timeout));
         return to_raw_result<raw_result, http_answer, not_sent, no_answer>(
-            http_->Put(target, headers, body, "application/json"));
+            http_call::send_bounded(*http_,
+                                    make_request("PUT", target, headers, body),
+                                    max_answer_bytes));
     };
 }
 
@@ -297,7 +318,9 @@
         http_->set_read_timeout(
             absl::ToChronoMicroseconds(settings_.io_timeout));
         return to_raw_result<raw_result, http_answer, not_sent, no_answer>(
-            http_->Delete(target, headers));
+            http_call::send_bounded(*http_,
+                                    make_request("DELETE", target, headers),
+                                    max_answer_bytes));
     };
 }
 
