--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -97,6 +97,19 @@
     cr_assert_eq(faults[1].line, 6);
 }
 
+// An infinite or huge number overflowed the clocks, or the type of a count.
+Test(settings_file, numbers_beyond_their_range_are_faults)
+{
+    for (const char* number : {"inf", "1e300", "1e10", "-1", "nan"}) {
+        const auto read =
+            parse_settings_file(with(settings_text, "bounds.graceS=8",
+                                     "bounds.graceS=" + std::string(number)));
+        const auto* faults = std::get_if<std::vector<settings_fault>>(&read);
+        cr_assert(faults != nullptr, "%s", number);
+        cr_assert_eq(faults->size(), 1);
+    }
+}
+
 Test(settings_file, takes_any_text)
 {
     cr_assert(rc::check([](const std::string& text) {
