net: what a reader threw is told and counted

Operators could not see that bytes of others had made one of our readers throw: the message or connection ended without a word. A fault of ours would have stayed unknown.

Change: run_guarded takes a hook, which writes the log line `read_error` (which reader, what it said) and counts it; the parsers of settings, servers and instances are guarded too, so that one that throws has no value and ends no thread.

--- a/oriolefall/follow/store_protocol.cpp
+++ b/oriolefall/follow/store_protocol.cpp
@@ -2,6 +2,8 @@
 
 #include "oriolefall/net/guarded.hpp"
 
+#include <string>
+#include <string_view>
 #include <variant>
 
 namespace oriolefall::follow {
@@ -14,12 +16,13 @@
     if (answer == nullptr)
         return {call_failed{std::get<store_failure>(result).cause}, {}};
     read_answer_result read;
-    const bool is_read = net::run_guarded([&] {
+    const auto fail = [&read](std::string_view, std::string_view cause) {
+        read.result = call_failed{"unreadable answer: " + std::string(cause)};
+    };
+    static_cast<void>(net::run_guarded(fail, "store", [&] {
         read.epoch = protocol.epoch(*answer);
         read.result = protocol.parse(call, *answer);
-    });
-    if (!is_read)
-        read.result = call_failed{"unreadable answer"};
+    }));
     return read;
 }
 
--- a/oriolefall/forward/caller_connection.cpp
+++ b/oriolefall/forward/caller_connection.cpp
@@ -2,7 +2,6 @@
 
 #include "oriolefall/core/clock.hpp"
 #include "oriolefall/forward/http_text.hpp"
-#include "oriolefall/net/guarded.hpp"
 #include "oriolefall/net/socket_options.hpp"
 
 #include <absl/strings/match.h>
@@ -106,7 +105,8 @@
 
 void caller_connection::parse()
 {
-    if (!net::run_guarded([this] { parse_request(); }))
+    if (!net::run_guarded(hooks_.read_error, "request",
+                          [this] { parse_request(); }))
         on_connection_lost();
 }
 
--- a/oriolefall/forward/caller_connection.hpp
+++ b/oriolefall/forward/caller_connection.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/forward/byte_budget.hpp"
 #include "oriolefall/forward/forward_settings.hpp"
 #include "oriolefall/net/beast.hpp"
+#include "oriolefall/net/guarded.hpp"
 #include "oriolefall/net/message_parser.hpp"
 #include "oriolefall/routing/route_settings.hpp"
 
@@ -43,6 +44,8 @@
     std::function<void(caller_connection&)> on_closed;
     /// Returns the limits currently in force.
     std::function<routing::caller_limits()> limits;
+    /// Reading the request threw; the connection ends.
+    net::read_error_hook read_error;
 };
 
 /// One connection of a caller: reads one request at a time and writes its
--- a/oriolefall/forward/forwarder.cpp
+++ b/oriolefall/forward/forwarder.cpp
@@ -28,7 +28,8 @@
                forwarder_hooks hooks)
         : settings_(std::move(settings)), protocol_(std::move(protocol)),
           hooks_(std::move(hooks)), body_budget_(settings_.max_request_bytes),
-          acceptor_(context_), server_connections_(context_, settings_),
+          acceptor_(context_),
+          server_connections_(context_, settings_, hooks_.read_error),
           restrictions_(settings_.max_restricted_servers),
           actions_(max_queued_actions)
     {
@@ -122,6 +123,7 @@
             caller_count_ = callers_.size();
         };
         hooks.limits = hooks_.limits;
+        hooks.read_error = hooks_.read_error;
         auto caller = std::make_shared<caller_connection>(
             std::move(socket), settings_, body_budget_, std::move(hooks));
         callers_.insert(caller);
--- a/oriolefall/forward/forwarder.hpp
+++ b/oriolefall/forward/forwarder.hpp
@@ -7,6 +7,7 @@
 #include "oriolefall/dispatch/event.hpp"
 #include "oriolefall/forward/forward_settings.hpp"
 #include "oriolefall/forward/protocol_hooks.hpp"
+#include "oriolefall/net/guarded.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -25,6 +26,8 @@
     std::function<bool(dispatch::event)> report;
     /// Returns the limits for callers currently in force.
     std::function<routing::caller_limits()> limits;
+    /// A request or an answer could not be read, by an exception.
+    net::read_error_hook read_error;
 };
 
 /// Counters for the metrics page.
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -1,6 +1,5 @@
 #include "oriolefall/forward/server_connection.hpp"
 
-#include "oriolefall/net/guarded.hpp"
 #include "oriolefall/net/socket_options.hpp"
 
 #include <algorithm>
@@ -159,7 +158,8 @@
         close();
         return;
     }
-    if (bytes > 0 && !net::run_guarded([this] { parse(); }))
+    if (bytes > 0 &&
+        !net::run_guarded(owner_.read_error, "answer", [this] { parse(); }))
         fail(call_error::malformed);
     if (is_closed_)
         return;
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -5,6 +5,7 @@
 #include "oriolefall/forward/forward_settings.hpp"
 #include "oriolefall/forward/protocol_hooks.hpp"
 #include "oriolefall/net/beast.hpp"
+#include "oriolefall/net/guarded.hpp"
 #include "oriolefall/net/message_parser.hpp"
 
 #include <chrono>
@@ -62,6 +63,8 @@
         std::function<void(server_connection&)> on_closed;
         /// Called each time that the connection can carry the next call.
         std::function<void(server_connection&)> on_idle;
+        /// Reading an answer threw; the call fails as malformed.
+        net::read_error_hook read_error;
     };
 
     server_connection(asio::io_context& context,
--- a/oriolefall/forward/server_connection_pool.cpp
+++ b/oriolefall/forward/server_connection_pool.cpp
@@ -8,8 +8,9 @@
 namespace oriolefall::forward {
 
 server_connection_pool::server_connection_pool(asio::io_context& context,
-                                               const forward_settings& settings)
-    : context_(context), settings_(settings)
+                                               const forward_settings& settings,
+                                               net::read_error_hook read_error)
+    : context_(context), settings_(settings), read_error_(std::move(read_error))
 {
 }
 
@@ -46,6 +47,7 @@
     owner.on_idle = [this, key](server_connection& connection) {
         servers_[key].idle.push_back(connection.shared_from_this());
     };
+    owner.read_error = read_error_;
     auto connection = std::make_shared<server_connection>(context_, settings_,
                                                           std::move(owner));
     ++state.open;
--- a/oriolefall/forward/server_connection_pool.hpp
+++ b/oriolefall/forward/server_connection_pool.hpp
@@ -17,7 +17,8 @@
 {
 public:
     server_connection_pool(asio::io_context& context,
-                           const forward_settings& settings);
+                           const forward_settings& settings,
+                           net::read_error_hook read_error);
     ~server_connection_pool();
     server_connection_pool(const server_connection_pool&) = delete;
     server_connection_pool& operator=(const server_connection_pool&) = delete;
@@ -41,6 +42,7 @@
 
     asio::io_context& context_;
     const forward_settings& settings_;
+    net::read_error_hook read_error_;
     /// The key holds server and address, because an address may pass to another
     /// server.
     absl::flat_hash_map<std::string, server_state> servers_;
--- a/oriolefall/router/page_duty.cpp
+++ b/oriolefall/router/page_duty.cpp
@@ -1,7 +1,6 @@
 #include "oriolefall/router/page_duty.hpp"
 
 #include "oriolefall/net/acceptor.hpp"
-#include "oriolefall/net/guarded.hpp"
 #include "oriolefall/net/message_parser.hpp"
 #include "oriolefall/net/socket_options.hpp"
 
@@ -23,8 +22,10 @@
 class page_duty::session : public std::enable_shared_from_this<session>
 {
 public:
-    session(tcp::socket socket, const page_hook& make_page)
-        : stream_(std::move(socket)), make_page_(make_page)
+    session(tcp::socket socket, const page_hook& make_page,
+            const net::read_error_hook& read_error)
+        : stream_(std::move(socket)), make_page_(make_page),
+          read_error_(read_error)
     {
         net::set_no_delay(stream_.socket());
     }
@@ -47,7 +48,8 @@
             return;
         if (!parser_->is_complete())
             read_some();
-        else if (!net::run_guarded([this] { write_answer(); }))
+        else if (!net::run_guarded(read_error_, "page",
+                                   [this] { write_answer(); }))
             stream_.close();
     }
 
@@ -93,12 +95,16 @@
 
     boost::beast::tcp_stream stream_;
     const page_hook& make_page_;
+    const net::read_error_hook& read_error_;
     boost::beast::flat_buffer buffer_;
     std::optional<net::request_parser> parser_;
     http::response<http::string_body> answer_;
 };
 
-page_duty::page_duty(page_hook make_page) : make_page_(std::move(make_page)) {}
+page_duty::page_duty(page_hook make_page, net::read_error_hook read_error)
+    : make_page_(std::move(make_page)), read_error_(std::move(read_error))
+{
+}
 
 page_duty::~page_duty()
 {
@@ -112,7 +118,8 @@
             net::open_acceptor(*acceptor, endpoint, listen_backlog))
         return error;
     net::accept_connections(*acceptor, [this](tcp::socket socket) {
-        std::make_shared<session>(std::move(socket), make_page_)->read();
+        std::make_shared<session>(std::move(socket), make_page_, read_error_)
+            ->read();
     });
     acceptors_.push_back(std::move(acceptor));
     return {};
--- a/oriolefall/router/page_duty.hpp
+++ b/oriolefall/router/page_duty.hpp
@@ -4,6 +4,7 @@
 #include "oriolefall/core/backend_server.hpp"
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/net/beast.hpp"
+#include "oriolefall/net/guarded.hpp"
 
 #include <functional>
 #include <memory>
@@ -32,7 +33,8 @@
 class page_duty
 {
 public:
-    explicit page_duty(page_hook make_page);
+    /// `read_error`: making a page threw; its connection ends.
+    page_duty(page_hook make_page, net::read_error_hook read_error);
     ~page_duty();
     page_duty(const page_duty&) = delete;
     page_duty& operator=(const page_duty&) = delete;
@@ -47,6 +49,7 @@
     class session;
 
     page_hook make_page_;
+    net::read_error_hook read_error_;
     asio::io_context context_{1};
     std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
     std::optional<core::duty_thread> thread_;
--- a/oriolefall/router/router.cpp
+++ b/oriolefall/router/router.cpp
@@ -35,10 +35,10 @@
 } // namespace
 
 router::router(router_settings settings, router_hooks hooks)
-    : settings_(std::move(settings)), hooks_(std::move(hooks)),
+    : settings_(std::move(settings)),
       log_({.instance = settings_.instance.value()},
            observe::standard_output_writer()),
-      request_log_({}, log_),
+      request_log_({}, log_), hooks_(guarded(std::move(hooks))),
       limits_(std::make_shared<const routing::caller_limits>()),
       members_(std::make_shared<const std::vector<membership::member>>()),
       server_reader_(hooks_.parse_server)
@@ -69,13 +69,14 @@
         max_events_per_request * settings_.forward.max_open_requests);
     forwarder_ = std::make_unique<forward::forwarder>(
         settings_.forward, hooks_.requests,
-        forward::forwarder_hooks{[this](dispatch::event event) {
-                                     return decide_duty_->try_post(
-                                         std::move(event));
-                                 },
-                                 [this] { return *limits_.get(); }});
+        forward::forwarder_hooks{
+            [this](dispatch::event event) {
+                return decide_duty_->try_post(std::move(event));
+            },
+            [this] { return *limits_.get(); }, read_error_hook()});
     page_duty_ = std::make_unique<page_duty>(
-        [this](const std::string& target) { return make_page(target); });
+        [this](const std::string& target) { return make_page(target); },
+        read_error_hook());
     control_duty_ = std::make_unique<peer::control_duty>(settings_.control,
                                                          control_hooks());
     store_duty_ = std::make_unique<follow::store_duty>(
@@ -175,6 +176,27 @@
     return log_;
 }
 
+net::read_error_hook router::read_error_hook()
+{
+    return [this](std::string_view reader, std::string_view cause) {
+        metrics_.count_read_error();
+        log_.write("read_error", {{"reader", std::string(reader)},
+                                  {"cause", std::string(cause)}});
+    };
+}
+
+router_hooks router::guarded(router_hooks hooks)
+{
+    const net::read_error_hook on_error = read_error_hook();
+    hooks.parse_routes =
+        net::guarded(on_error, "settings", std::move(hooks.parse_routes));
+    hooks.parse_server =
+        net::guarded(on_error, "server", std::move(hooks.parse_server));
+    hooks.parse_member =
+        net::guarded(on_error, "instance", std::move(hooks.parse_member));
+    return hooks;
+}
+
 follow::store_duty_hooks router::store_hooks()
 {
     follow::store_duty_hooks hooks;
--- a/oriolefall/router/router.hpp
+++ b/oriolefall/router/router.hpp
@@ -5,6 +5,7 @@
 #include "oriolefall/core/recent_peak.hpp"
 #include "oriolefall/forward/forwarder.hpp"
 #include "oriolefall/membership/absent_instance_detector.hpp"
+#include "oriolefall/net/guarded.hpp"
 #include "oriolefall/observe/event_log.hpp"
 #include "oriolefall/router/decide_duty.hpp"
 #include "oriolefall/router/page_duty.hpp"
@@ -65,6 +66,10 @@
     [[nodiscard]] std::optional<listen_failure>
     listen_when_free(const core::endpoint& address, const listen_call& listen,
                      std::chrono::steady_clock::time_point give_up_at);
+    /// Logs and counts what a reader of foreign bytes threw.
+    [[nodiscard]] net::read_error_hook read_error_hook();
+    /// The same hooks, but that parse functions which throw have no value.
+    [[nodiscard]] router_hooks guarded(router_hooks hooks);
     [[nodiscard]] follow::store_duty_hooks store_hooks();
     [[nodiscard]] peer::control_hooks control_hooks();
     void on_settings(const follow::collection_view& view);
@@ -92,11 +97,11 @@
                             const std::vector<membership::member>& after);
 
     router_settings settings_;
-    router_hooks hooks_;
     observe::event_log log_;
     /// Used on the decide thread only.
     request_log request_log_;
     router_metrics metrics_;
+    router_hooks hooks_;
     core::latest_value<routing::caller_limits> limits_;
     core::latest_value<std::vector<membership::member>> members_;
     std::shared_ptr<const routing::route_table> route_table_;
--- a/oriolefall/router/router_metrics.cpp
+++ b/oriolefall/router/router_metrics.cpp
@@ -42,6 +42,9 @@
       dropped_log_lines_(counters("oriolefall_log_lines_dropped_total",
                                   "Log lines that found no room")
                              .Add({})),
+      read_errors_(counters("oriolefall_read_errors_total",
+                            "Messages whose reader threw")
+                       .Add({})),
       servers_(gauges("oriolefall_backend_servers",
                       "Backend servers known, by state")),
       store_unreachable_(gauges("oriolefall_store_away",
@@ -127,6 +130,11 @@
     servers_.Add({{"state", "doubtful"}}).Set(static_cast<double>(stale));
 }
 
+void router_metrics::count_read_error()
+{
+    read_errors_.Increment();
+}
+
 void router_metrics::set_instances(std::size_t count)
 {
     instances_.Set(static_cast<double>(count));
--- a/oriolefall/router/router_metrics.hpp
+++ b/oriolefall/router/router_metrics.hpp
@@ -38,6 +38,8 @@
     void record(const dispatch::quarantine_change& value);
     void record(const dispatch::rate_limit_change& value);
     void record(const dispatch::notice_record& value);
+    /// What others sent made its reader throw.
+    void count_read_error();
     void set_settings_version(std::uint64_t version);
     void set_servers(std::size_t ready, std::size_t draining,
                      std::size_t stale);
@@ -68,6 +70,7 @@
     counter_family& server_notices_;
     prometheus::Counter& server_connections_opened_;
     prometheus::Counter& dropped_log_lines_;
+    prometheus::Counter& read_errors_;
     gauge_family& servers_;
     gauge_family& store_unreachable_;
     prometheus::Gauge& settings_version_;
--- a/tests/follow/store_connection_test.cpp
+++ b/tests/follow/store_connection_test.cpp
@@ -11,6 +11,9 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -125,3 +128,74 @@
     context.run();
     cr_assert_eq(body, "abcdefghi");
 }
+
+// The limit on answers did not hold where bytes of the body came with the head:
+// the announced length was reserved, and the process ended.
+Test(store_connection, an_answer_without_end_is_a_failed_call)
+{
+    for (const std::string& answer :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: "
+                      "1000000000000000\r\n\r\n{\"events\":["),
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2000000\r\n" +
+              std::string(std::size_t{17} << 20, 'x'),
+          "HTTP/1.1 200 OK\r\n\r\n" + std::string(std::size_t{17} << 20, 'x'),
+          "HTTP/1.1 200 OK\r\nX-Long: " + std::string(70000, 'x'),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                      "chunked\r\n\r\n5;a=") +
+              std::string(200000, 'a')}) {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+        tcp::socket store(context);
+        acceptor.async_accept(store, [&](const error_code& error) {
+            if (!error)
+                asio::async_write(store, asio::buffer(answer),
+                                  [](const error_code&, std::size_t) {});
+        });
+        const auto connection = std::make_shared<store_connection>(
+            context,
+            core::endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+        std::optional<bool> failed;
+        store_request request;
+        request.target = "/";
+        connection->call(request, [&](const store_result& result) {
+            failed = std::holds_alternative<store_failure>(result);
+            context.stop();
+        });
+        context.run();
+        cr_assert(failed.value_or(false), "%.60s", answer.c_str());
+    }
+}
+
+// Bytes after an answer were taken for the answer to the next call.
+Test(store_connection, bytes_after_an_answer_answer_no_call)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    std::vector<tcp::socket> accepted;
+    const std::string twice = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+                              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb";
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const error_code& error, tcp::socket socket) {
+            if (error)
+                return;
+            accepted.push_back(std::move(socket));
+            asio::write(accepted.back(), asio::buffer(twice));
+            accept();
+        });
+    };
+    accept();
+    const auto connection = std::make_shared<store_connection>(
+        context, core::endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+    store_request request;
+    request.target = "/";
+    std::string bodies;
+    connection->call(request, [&](const store_result& first) {
+        bodies += std::get<store_answer>(first).body;
+        connection->call(request, [&](const store_result& second) {
+            bodies += std::get<store_answer>(second).body;
+            context.stop();
+        });
+    });
+    context.run();
+    cr_assert_eq(bodies, "aa");
+}
--- a/tests/forward/forwarder_fixture.cpp
+++ b/tests/forward/forwarder_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace oriolefall::tests {
@@ -33,11 +34,13 @@
 
 forwarder_fixture::forwarder_fixture(forward::protocol_hooks protocol,
                                      forward::forward_settings settings)
-    : forwarder(with_any_port(std::move(settings)), std::move(protocol),
-                {[this](dispatch::event event) {
-                     return events_.try_push(std::move(event));
-                 },
-                 [] { return routing::caller_limits{}; }}),
+    : forwarder(
+          with_any_port(std::move(settings)), std::move(protocol),
+          {[this](dispatch::event event) {
+               return events_.try_push(std::move(event));
+           },
+           [] { return routing::caller_limits{}; },
+           [this](std::string_view, std::string_view) { ++read_errors_; }}),
       events_(event_capacity)
 {
     if (forwarder.listen())
@@ -88,6 +91,11 @@
     submit(action);
 }
 
+int forwarder_fixture::read_error_count() const
+{
+    return read_errors_;
+}
+
 int forwarder_fixture::port() const
 {
     return forwarder.port();
--- a/tests/forward/forwarder_fixture.hpp
+++ b/tests/forward/forwarder_fixture.hpp
@@ -7,6 +7,7 @@
 #include "oriolefall/core/duty_thread.hpp"
 #include "oriolefall/forward/forwarder.hpp"
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,10 +45,13 @@
                      const scripted_server& server, std::uint64_t call = 1,
                      absl::Duration gap_timeout = absl::InfiniteDuration());
     [[nodiscard]] int port() const;
+    /// Number of messages whose reader threw.
+    [[nodiscard]] int read_error_count() const;
 
     forward::forwarder forwarder;
 
 private:
+    std::atomic<int> read_errors_ = 0;
     core::bounded_ring<dispatch::event> events_;
     std::optional<core::duty_thread> thread_;
 };
--- a/tests/forward/untrusted_bytes_test.cpp
+++ b/tests/forward/untrusted_bytes_test.cpp
@@ -3,6 +3,8 @@
 #include "test_protocol.hpp"
 
 #include <chrono>
+#include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -100,3 +102,39 @@
     cr_assert(fixture.next<dispatch::call_broken>().cause ==
               dispatch::broken_cause::malformed);
 }
+
+// An exception of the encoding ends what it was reading, and is told.
+Test(untrusted_bytes, a_reader_that_throws_ends_one_message)
+{
+    scripted_server server(answers("r1"));
+    forward::protocol_hooks protocol = test_protocol();
+    const auto read_request = protocol.read_request;
+    protocol.read_request = [read_request](const forward::request_head& head) {
+        if (head.target() == "/throws")
+            throw std::runtime_error("request");
+        return read_request(head);
+    };
+    const auto read_answer = protocol.read_answer;
+    auto rounds = std::make_shared<int>(0);
+    protocol.read_answer = [read_answer,
+                            rounds](const forward::request_head& request,
+                                    const forward::answer_head& head) {
+        if ((*rounds)++ == 0)
+            throw std::runtime_error("answer");
+        return read_answer(request, head);
+    };
+    forwarder_fixture fixture(protocol);
+    raw_caller faulty(fixture.port());
+    faulty.send("GET /throws HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert_eq(faulty.read_all(), "");
+    cr_assert_eq(fixture.read_error_count(), 1);
+    raw_caller caller(fixture.port());
+    caller.send(format_request("r1"));
+    const auto request = fixture.next<dispatch::arrival>();
+    fixture.send_call(request, server, 1);
+    cr_assert(fixture.next<dispatch::call_broken>().cause ==
+              dispatch::broken_cause::malformed);
+    cr_assert_eq(fixture.read_error_count(), 2);
+    fixture.send_call(request, server, 2);
+    cr_assert(caller.read_until("sound").ends_with("\r\n\r\nsound"));
+}
