forward: the log says what a server had sent when a call broke

The record of the incident has no line that tells its hypotheses apart: "broken malformed" says neither what was wrong with the server's bytes, nor how much of the stream had been passed on, from where it was resumed, or whether the connection had carried calls before.

Change: call_broken has these details, and the line "broken" has fault, events, last_event, resumed_after and earlier_calls. No decision depends on them. Result: request_log/a_broken_call_says_what_the_server_had_sent; the tests of forward pass.

--- a/oriolefall/dispatch/decision_record.hpp
+++ b/oriolefall/dispatch/decision_record.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_DISPATCH_DECISION_RECORD_HPP
 
 #include "oriolefall/core/ids.hpp"
+#include "oriolefall/dispatch/event.hpp"
 
 #include <absl/time/time.h>
 
@@ -63,6 +64,8 @@
     std::vector<std::uint64_t> shared_parts;
     /// The server had begun its answer to a call that broke.
     bool had_answer_begun = false;
+    /// Set for calls that broke.
+    broken_call_details broken;
     std::uint32_t uncached_tokens = 0;
     /// Expected time to the first event or the answer.
     absl::Duration expected_time = absl::ZeroDuration();
--- a/oriolefall/dispatch/dispatcher_records.cpp
+++ b/oriolefall/dispatch/dispatcher_records.cpp
@@ -97,6 +97,7 @@
 {
     decision_record record = make_record(request, decision::broken);
     record.cause = to_string(event.cause);
+    record.broken = event.details;
     record.had_answer_begun =
         request.call->answer_started_at != absl::InfinitePast();
     std::ranges::transform(shared_parts(request.arrival_event.prompt),
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -89,6 +89,23 @@
 
 [[nodiscard]] std::string_view to_string(broken_cause value);
 
+/// What had been seen of a call that broke, for the log.
+struct broken_call_details
+{
+    /// What was wrong with the data. Refers to a string literal of the program;
+    /// empty when nothing was.
+    std::string_view fault;
+    /// Events of this call that were passed on.
+    std::uint32_t events = 0;
+    /// Id of the event after which the call resumed a stream, and of the last
+    /// one that was passed on; 0 without one.
+    std::uint64_t resumed_after = 0;
+    std::uint64_t last_event = 0;
+    /// Calls that the connection had carried before.
+    std::uint32_t earlier_calls = 0;
+    auto operator<=>(const broken_call_details&) const = default;
+};
+
 /// A call ended without a complete answer; the request may have run.
 struct call_broken
 {
@@ -97,6 +114,7 @@
     broken_cause cause = broken_cause::connection_lost;
     /// Part of the answer has been sent to the caller.
     bool has_answer_started = false;
+    broken_call_details details = {};
     auto operator<=>(const call_broken&) const = default;
 };
 
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -26,7 +26,9 @@
     forwarding_ = forwarding::undecided;
     buffered_body_.clear();
     has_reported_answer_ = false;
-    splitter_ = event_splitter(splitter_.last_event_id());
+    resumed_after_ = splitter_.last_event_id();
+    splitter_ = event_splitter(resumed_after_);
+    earlier_calls_ = 0;
     discarded_bytes_ = 0;
     head_info_ = {};
     sent_at_ = core::monotonic_now();
@@ -41,6 +43,8 @@
                                           make_call_hooks(action.call));
     if (server_ == nullptr)
         report_not_run(dispatch::not_run_cause::no_room);
+    else
+        earlier_calls_ = server_->earlier_calls();
 }
 
 void exchange::execute(const dispatch::cancel_call& action)
@@ -183,20 +187,38 @@
                            : dispatch::not_run_cause::not_connected);
         return;
     }
+    if (error == call_error::malformed) {
+        on_malformed("not_http");
+        return;
+    }
     if (server_)
         server_->abort();
     server_.reset();
-    report_broken(error == call_error::malformed
-                      ? dispatch::broken_cause::malformed
-                      : dispatch::broken_cause::connection_lost);
+    report_broken(dispatch::broken_cause::connection_lost);
 }
 
-void exchange::report_broken(dispatch::broken_cause cause)
+void exchange::on_malformed(std::string_view fault)
+{
+    if (server_)
+        server_->abort();
+    server_.reset();
+    report_broken(dispatch::broken_cause::malformed, fault);
+}
+
+void exchange::report_broken(dispatch::broken_cause cause,
+                             std::string_view fault)
 {
     const core::call_id call = current_call_->call;
     current_call_.reset();
-    dependencies_.report(
-        dispatch::call_broken{id_, call, cause, is_answer_started_});
+    dependencies_.report(dispatch::call_broken{
+        id_, call, cause, is_answer_started_, broken_details(fault)});
+}
+
+dispatch::broken_call_details
+exchange::broken_details(std::string_view fault) const
+{
+    return {fault, splitter_.event_count(), resumed_after_.value_or(0),
+            splitter_.last_event_id().value_or(0), earlier_calls_};
 }
 
 void exchange::start_stall_timer(absl::Duration timeout)
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace oriolefall::forward {
 
@@ -76,6 +77,9 @@
     void on_done(answer_end end);
     void finish_event_stream(answer_end end);
     void on_failed(call_error error);
+    /// The server's bytes are no answer to this call. `fault` says why and
+    /// refers to a string literal.
+    void on_malformed(std::string_view fault);
     void start_event_stream();
     void forward_events(const std::string& events);
     void start_streamed_answer();
@@ -88,7 +92,10 @@
     void report_not_run(dispatch::not_run_cause cause);
     /// The server has said so.
     void report_refused();
-    void report_broken(dispatch::broken_cause cause);
+    void report_broken(dispatch::broken_cause cause,
+                       std::string_view fault = {});
+    [[nodiscard]] dispatch::broken_call_details
+    broken_details(std::string_view fault) const;
     /// Checks after `timeout` whether the call has stalled.
     void start_stall_timer(absl::Duration timeout);
     void on_stall_timer();
@@ -107,6 +114,9 @@
     /// Bytes received after such an answer's head.
     std::size_t discarded_bytes_ = 0;
     event_splitter splitter_;
+    /// Id of the event after which the current call resumes the stream.
+    std::optional<std::uint64_t> resumed_after_;
+    std::uint32_t earlier_calls_ = 0;
     body_framing framing_;
     forwarding forwarding_ = forwarding::undecided;
     /// True when bytes of an answer have been written to the caller.
--- a/oriolefall/forward/exchange_answer.cpp
+++ b/oriolefall/forward/exchange_answer.cpp
@@ -42,7 +42,7 @@
     if (head_info_.not_run || head_info_.wrong_server) {
         forwarding_ = forwarding::discarded;
     } else if (is_success(status) && !head_info_.is_signed) {
-        on_failed(call_error::malformed);
+        on_malformed("unsigned_success");
     } else if (is_success(status) && current_call_->is_stream &&
                is_event_stream(head)) {
         forwarding_ = forwarding::events;
@@ -62,7 +62,7 @@
     case forwarding::events:
         forward_events(splitter_.feed(bytes));
         if (splitter_.pending_bytes() > dependencies_.settings.max_event_bytes)
-            on_failed(call_error::malformed);
+            on_malformed("too_large");
         break;
     case forwarding::buffered:
         buffered_body_ += bytes;
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -52,6 +52,7 @@
     timer_.cancel();
     call_ = std::make_shared<const call_hooks>(std::move(hooks));
     body_ = std::move(body);
+    ++earlier_calls_;
     discarded_answers_ = 0;
     discarded_bytes_ = 0;
     reset_parser();
@@ -279,6 +280,11 @@
     owner_.on_idle(*this);
 }
 
+std::uint32_t server_connection::earlier_calls() const
+{
+    return earlier_calls_;
+}
+
 void server_connection::set_keep_alive_timeout(
     std::chrono::milliseconds timeout)
 {
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -84,6 +84,8 @@
     void resume();
     /// Closes the connection if it is idle.
     void close_if_idle();
+    /// Number of calls that the connection has carried before this one.
+    [[nodiscard]] std::uint32_t earlier_calls() const;
     /// Sets the timeout after which the server closes an idle connection.
     void set_keep_alive_timeout(std::chrono::milliseconds timeout);
 
@@ -118,6 +120,7 @@
     std::shared_ptr<const std::string> body_;
     std::string request_head_;
     std::chrono::milliseconds idle_timeout_;
+    std::uint32_t earlier_calls_ = 0;
     unsigned discarded_answers_ = 0;
     bool is_connected_ = false;
     bool is_request_written_ = false;
--- a/oriolefall/router/request_log.cpp
+++ b/oriolefall/router/request_log.cpp
@@ -60,6 +60,17 @@
     std::vector<std::pair<std::string_view, std::string>> values_;
 };
 
+void add_broken(line_fields& fields,
+                const dispatch::broken_call_details& details)
+{
+    if (!details.fault.empty())
+        fields.add("fault", std::string(details.fault));
+    fields.add_number("events", details.events);
+    fields.add_number("resumed_after", details.resumed_after);
+    fields.add_number("last_event", details.last_event);
+    fields.add_number("earlier_calls", details.earlier_calls);
+}
+
 } // namespace
 
 request_log::request_log(request_log_settings settings, observe::event_log& log)
@@ -174,6 +185,7 @@
         fields.add_number("to_read", record.uncached_tokens);
     } else if (record.outcome == dispatch::decision::broken) {
         fields.add("answer_begun", record.had_answer_begun ? "yes" : "no");
+        add_broken(fields, record.broken);
         if (!record.shared_parts.empty())
             fields.add("shared_parts", format_parts(record.shared_parts));
     } else if (record.outcome == dispatch::decision::answered) {
--- a/tests/router/request_log_test.cpp
+++ b/tests/router/request_log_test.cpp
@@ -172,3 +172,18 @@
     cr_assert_eq(
         count(text, "\"event\":\"server_unlimited\",\"server\":\"s3\""), 1);
 }
+
+Test(request_log, a_broken_call_says_what_the_server_had_sent)
+{
+    log_fixture fixture(10);
+    auto record = make_record(1, decision::broken);
+    record.cause = "malformed";
+    record.broken = {"no_number", 27, 3, 30, 4};
+    fixture.subject.log(start, record);
+    cr_assert_eq(count(fixture.take(),
+                       "\"answer_begun\":\"no\","
+                       "\"fault\":\"no_number\",\"events\":\"27\","
+                       "\"resumed_after\":\"3\",\"last_event\":\"30\","
+                       "\"earlier_calls\":\"4\""),
+                 1);
+}
