forward: of a stream only well-formed events are passed on

Cause: whatever ended in a blank line was taken for an event, and one without a number for one that is not old. A server that sends garbage has blank lines in it: the head of a second answer, where the end of the connection ends the answer, or in a chunk.

Change: read_event_form asks what an event must look like: UTF-8 text, lines that are fields, one number, data. The splitter passes on nothing else and says why; a number that goes back within a call is a fault too, as it belongs to another run. Comments and empty lines are no events, and are dropped. What came before the fault is passed on; the call is then broken (malformed): the stream goes on elsewhere after its last good event, or ends as broken. What has the form of an event can't be told from one.

Result: garbage_in_stream/*, event_form/*, event_splitter/passes_on_nothing_but_events_ with_rising_numbers (any order of 15 pieces of garbage and events) pass. The tests of the splitter that were there hold unchanged, but that its result has a field more.

--- /dev/null
+++ b/oriolefall/forward/event_form.cpp
@@ -0,0 +1,134 @@
+#include "oriolefall/forward/event_form.hpp"
+
+#include "oriolefall/core/text.hpp"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/strip.h>
+#include <boost/locale/utf.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace oriolefall::forward {
+
+namespace {
+
+constexpr std::string_view id_name = "id";
+constexpr std::string_view data_name = "data";
+
+bool is_text(std::string_view bytes)
+{
+    namespace utf = boost::locale::utf;
+    const char* at = bytes.data();
+    const char* const end = at + bytes.size();
+    while (at != end) {
+        const utf::code_point point = utf::utf_traits<char>::decode(at, end);
+        if (!utf::is_valid_codepoint(point))
+            return false;
+        if (point < ' ' && point != '\t')
+            return false;
+    }
+    return true;
+}
+
+/// True for names of letters in lower case, digits, '-' and '_'.
+bool is_field_name(std::string_view name)
+{
+    return !name.empty() && std::ranges::all_of(name, [](unsigned char c) {
+        return absl::ascii_islower(c) || absl::ascii_isdigit(c) || c == '-' ||
+               c == '_';
+    });
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(core::to_absl(text)),
+                          &value))
+        return std::nullopt;
+    return value;
+}
+
+/// What the lines of an event have told so far.
+class line_reader
+{
+public:
+    /// False once the event is known to be faulty.
+    bool read(std::string_view line)
+    {
+        if (!is_text(line))
+            return fail(event_fault::not_text);
+        if (line.starts_with(':'))
+            return true;
+        has_fields_ = true;
+        const auto colon = line.find(':');
+        const std::string_view name = line.substr(0, colon);
+        const bool is_data = name == data_name;
+        if (!is_data &&
+            (colon == std::string_view::npos || !is_field_name(name)))
+            return fail(event_fault::unknown_line);
+        has_data_ = has_data_ || is_data;
+        return name != id_name || read_number(line.substr(colon + 1));
+    }
+
+    [[nodiscard]] event_form result() const
+    {
+        if (fault_)
+            return *fault_;
+        if (!has_fields_)
+            return comment_only{};
+        if (!number_)
+            return event_fault::no_number;
+        if (!has_data_)
+            return event_fault::no_data;
+        return event_number{*number_};
+    }
+
+private:
+    bool fail(event_fault fault)
+    {
+        fault_ = fault;
+        return false;
+    }
+
+    bool read_number(std::string_view text)
+    {
+        const bool is_second = number_.has_value();
+        number_ = parse_number(text);
+        return (!is_second && number_) || fail(event_fault::no_number);
+    }
+
+    std::optional<event_fault> fault_;
+    std::optional<std::uint64_t> number_;
+    bool has_fields_ = false;
+    bool has_data_ = false;
+};
+
+} // namespace
+
+std::string_view to_string(event_fault value)
+{
+    static constexpr std::array<std::string_view, 6> names{
+        "not_text", "unknown_line", "no_number",
+        "no_data",  "out_of_order", "too_large"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+event_form read_event_form(std::string_view event)
+{
+    line_reader reader;
+    while (!event.empty()) {
+        const auto line_end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, line_end);
+        event.remove_prefix(std::min(line_end + 1, event.size()));
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.empty() && !reader.read(line))
+            break;
+    }
+    return reader.result();
+}
+
+} // namespace oriolefall::forward
--- a/oriolefall/forward/event_splitter.cpp
+++ b/oriolefall/forward/event_splitter.cpp
@@ -1,68 +1,38 @@
 #include "oriolefall/forward/event_splitter.hpp"
 
-#include "oriolefall/core/text.hpp"
-
-#include <absl/strings/numbers.h>
-#include <absl/strings/strip.h>
-
-#include <algorithm>
+#include <variant>
 
 namespace oriolefall::forward {
 
-namespace {
-
-constexpr std::string_view id_field = "id:";
-
-/// The number in the event's id field, if it has one.
-std::optional<std::uint64_t> parse_event_id(std::string_view event)
-{
-    std::size_t line_begin = 0;
-    while (line_begin < event.size()) {
-        const auto line_end =
-            std::min(event.find('\n', line_begin), event.size());
-        const std::string_view line =
-            event.substr(line_begin, line_end - line_begin);
-        line_begin = line_end + 1;
-        if (!line.starts_with(id_field))
-            continue;
-        const auto text = absl::StripAsciiWhitespace(
-            core::to_absl(line.substr(id_field.size())));
-        std::uint64_t value = 0;
-        if (absl::SimpleAtoi(text, &value))
-            return value;
-    }
-    return std::nullopt;
-}
-
-} // namespace
-
-event_splitter::event_splitter(std::optional<std::uint64_t> last_delivered_id)
-    : last_event_id_(last_delivered_id)
+event_splitter::event_splitter(std::optional<std::uint64_t> last_delivered_id,
+                               std::size_t max_event_bytes)
+    : max_event_bytes_(max_event_bytes), last_event_id_(last_delivered_id)
 {
 }
 
-std::string event_splitter::feed(std::string_view bytes)
+split_result event_splitter::feed(std::string_view bytes)
 {
     buffer_ += bytes;
-    std::string complete_events;
-    std::size_t begin = 0;
-    for (;;) {
-        const std::size_t end = find_event_end(std::max(begin, search_from_));
-        if (end == std::string::npos)
+    split_result result;
+    std::size_t event_begin = 0;
+    while (!result.fault) {
+        const std::size_t line_end = buffer_.find('\n', search_from_);
+        if (line_end == std::string::npos)
             break;
-        const std::string_view event(buffer_.data() + begin, end - begin);
-        if (!is_duplicate(event)) {
-            complete_events += event;
-            ++event_count_;
-        }
-        begin = end;
-        search_from_ = end;
+        const std::string_view line(buffer_.data() + line_begin_,
+                                    line_end - line_begin_);
+        line_begin_ = search_from_ = line_end + 1;
+        if (!line.empty() && line != "\r")
+            continue;
+        take({buffer_.data() + event_begin, line_begin_ - event_begin}, result);
+        event_begin = line_begin_;
     }
-    buffer_.erase(0, begin);
-    // The blank line that ends an event takes up to four bytes, so three
-    // received ones may be its start.
-    search_from_ = buffer_.size() > 3 ? buffer_.size() - 3 : 0;
-    return complete_events;
+    buffer_.erase(0, event_begin);
+    line_begin_ -= event_begin;
+    search_from_ = buffer_.size();
+    if (!result.fault && buffer_.size() > max_event_bytes_)
+        result.fault = event_fault::too_large;
+    return result;
 }
 
 bool event_splitter::is_inside_event() const
@@ -85,25 +55,28 @@
     return buffer_.size();
 }
 
-std::size_t event_splitter::find_event_end(std::size_t from) const
+void event_splitter::take(std::string_view event, split_result& result)
 {
-    const auto lf = buffer_.find("\n\n", from);
-    const auto crlf = buffer_.find("\r\n\r\n", from);
-    const auto lf_end = lf == std::string::npos ? std::string::npos : lf + 2;
-    const auto crlf_end =
-        crlf == std::string::npos ? std::string::npos : crlf + 4;
-    return std::min(lf_end, crlf_end);
+    const event_form form = read_event_form(event);
+    if (const auto* fault = std::get_if<event_fault>(&form))
+        result.fault = *fault;
+    else if (const auto* number = std::get_if<event_number>(&form))
+        take_numbered(event, number->value, result);
 }
 
-bool event_splitter::is_duplicate(std::string_view event)
+void event_splitter::take_numbered(std::string_view event, std::uint64_t number,
+                                   split_result& result)
 {
-    const auto id = parse_event_id(event);
-    if (!id)
-        return false;
-    if (last_event_id_ && *id <= *last_event_id_)
-        return true;
-    last_event_id_ = id;
-    return false;
+    if (number < last_received_id_) {
+        result.fault = event_fault::out_of_order;
+        return;
+    }
+    last_received_id_ = number;
+    if (last_event_id_ && number <= *last_event_id_)
+        return;
+    last_event_id_ = number;
+    result.events += event;
+    ++event_count_;
 }
 
 } // namespace oriolefall::forward
--- a/oriolefall/forward/event_splitter.hpp
+++ b/oriolefall/forward/event_splitter.hpp
@@ -1,31 +1,47 @@
 #ifndef ORIOLEFALL_FORWARD_EVENT_SPLITTER_HPP
 #define ORIOLEFALL_FORWARD_EVENT_SPLITTER_HPP
 
+#include "oriolefall/forward/event_form.hpp"
+
+#include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace oriolefall::forward {
 
+/// What received bytes have completed.
+struct split_result
+{
+    /// Whole events that the caller doesn't have yet.
+    std::string events;
+    /// What follows `events` is no event of the stream.
+    std::optional<event_fault> fault;
+    auto operator<=>(const split_result&) const = default;
+};
+
 /// Splits a stream of server-sent events (WHATWG HTML, section 9.2) into
 /// complete events, so that a stream that breaks inside an event can be resumed
-/// at another server after the last complete event. Not thread-safe.
+/// at another server after the last complete event. Lets nothing through that
+/// is no event with a number. Not thread-safe.
 class event_splitter
 {
 public:
     /// Events with ids up to `last_delivered_id` are dropped, because the
     /// caller already has them.
     explicit event_splitter(
-        std::optional<std::uint64_t> last_delivered_id = std::nullopt);
+        std::optional<std::uint64_t> last_delivered_id = std::nullopt,
+        std::size_t max_event_bytes = std::numeric_limits<std::size_t>::max());
 
     /// Appends received bytes and returns the events that are now complete.
-    [[nodiscard]] std::string feed(std::string_view bytes);
+    /// After a fault the splitter can't be used any more.
+    [[nodiscard]] split_result feed(std::string_view bytes);
     /// True when bytes of an event have been received, but not its end.
     [[nodiscard]] bool is_inside_event() const;
 
-    /// Id of the last complete event that had one; the constructor's id before
-    /// that.
+    /// Id of the last event returned; the constructor's id before that.
     [[nodiscard]] std::optional<std::uint64_t> last_event_id() const;
     /// Number of complete events returned so far.
     [[nodiscard]] std::uint32_t event_count() const;
@@ -33,14 +49,20 @@
     [[nodiscard]] std::size_t pending_bytes() const;
 
 private:
-    [[nodiscard]] std::size_t find_event_end(std::size_t from) const;
-    /// True when the event's id shows that the caller already has it;
-    /// otherwise its id becomes the last one.
-    [[nodiscard]] bool is_duplicate(std::string_view event);
+    /// Appends a complete event to `result`, unless the caller has it.
+    void take(std::string_view event, split_result& result);
+    /// The same for an event with this number.
+    void take_numbered(std::string_view event, std::uint64_t number,
+                       split_result& result);
 
+    std::size_t max_event_bytes_;
     std::string buffer_;
-    /// Position in `buffer_` before which no event ends.
+    /// Positions in `buffer_`: of the first line that isn't complete, and
+    /// before which no line ends.
+    std::size_t line_begin_ = 0;
     std::size_t search_from_ = 0;
+    /// Of the events received, whether returned or not.
+    std::uint64_t last_received_id_ = 0;
     std::optional<std::uint64_t> last_event_id_;
     std::uint32_t event_count_ = 0;
 };
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -27,7 +27,8 @@
     buffered_body_.clear();
     has_reported_answer_ = false;
     resumed_after_ = splitter_.last_event_id();
-    splitter_ = event_splitter(resumed_after_);
+    splitter_ =
+        event_splitter(resumed_after_, dependencies_.settings.max_event_bytes);
     earlier_calls_ = 0;
     discarded_bytes_ = 0;
     head_info_ = {};
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -75,6 +75,7 @@
     bool on_head(const answer_head& head);
     void on_body(std::string_view bytes);
     void on_done(answer_end end);
+    void on_stream_body(std::string_view bytes);
     void finish_event_stream(answer_end end);
     void on_failed(call_error error);
     /// The server's bytes are no answer to this call. `fault` says why and
--- a/oriolefall/forward/exchange_answer.cpp
+++ b/oriolefall/forward/exchange_answer.cpp
@@ -60,9 +60,7 @@
 {
     switch (forwarding_) {
     case forwarding::events:
-        forward_events(splitter_.feed(bytes));
-        if (splitter_.pending_bytes() > dependencies_.settings.max_event_bytes)
-            on_malformed("too_large");
+        on_stream_body(bytes);
         break;
     case forwarding::buffered:
         buffered_body_ += bytes;
@@ -114,6 +112,14 @@
     finish(framing_.length || framing_.chunked);
 }
 
+void exchange::on_stream_body(std::string_view bytes)
+{
+    const split_result split = splitter_.feed(bytes);
+    forward_events(split.events);
+    if (split.fault)
+        on_malformed(to_string(*split.fault));
+}
+
 void exchange::finish_event_stream(answer_end end)
 {
     const bool is_empty =
