soak: servers that garble spoil streams too

Half of the streams of such a server now go on with bytes that no run made, after any event or behind the last one; half of these have neither length nor chunks.

--- a/tests/adapter/soak/work_server.cpp
+++ b/tests/adapter/soak/work_server.cpp
@@ -1,5 +1,7 @@
 #include "tests/adapter/soak/work_server.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -14,6 +16,21 @@
 constexpr unsigned queue_slots = 2;
 constexpr milliseconds hang_step{500};
 
+/// The head of a stream that ends with its connection, or comes in chunks.
+std::string stream_head(bool is_framed)
+{
+    return std::string("Content-Type: text/event-stream\r\n") +
+           (is_framed ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+}
+
+std::string format_chunk(const std::string& data)
+{
+    std::array<char, 16> size{};
+    const auto end =
+        std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
+    return std::string(size.data(), end.ptr) + "\r\n" + data + "\r\n";
+}
+
 /// A header of a request, empty when there is none.
 template <class Request>
 std::string field(const Request& asked, const char* name)
@@ -193,20 +210,24 @@
     const std::string after = field(asked, "Last-Event-Id");
     unsigned last = 0;
     std::from_chars(after.data(), after.data() + after.size(), last);
+    last = std::min(last, settings_.stream_events);
+    const bool garbles = fault_ == server_fault::garbles && random_() % 2 == 0;
+    const bool is_framed = !garbles || random_() % 2 == 0;
+    // Garbage may also come behind the last event.
+    const unsigned garbage_after =
+        garbles ? last + random_() % (settings_.stream_events - last + 1) + 1
+                : settings_.stream_events + 2;
     std::string text = head(id, "200 OK") + "Oriolefall-Server-Seal: " +
-                       signature_of(id, settings_.id) +
-                       "\r\nContent-Type: text/event-stream"
-                       "\r\nTransfer-Encoding: chunked\r\n\r\n";
+                       signature_of(id, settings_.id) + "\r\n" +
+                       stream_head(is_framed);
     error_code error;
     for (unsigned event = last + 1; event <= settings_.stream_events; ++event) {
         const std::string data = "id: " + std::to_string(event) +
                                  "\ndata: " + id + " " + std::to_string(event) +
                                  "\n\n";
-        std::array<char, 16> size{};
-        const auto end = std::to_chars(size.data(), size.data() + size.size(),
-                                       data.size(), 16);
-        text.append(size.data(), end.ptr);
-        text += "\r\n" + data + "\r\n";
+        const std::string bytes =
+            (event == garbage_after ? garbage() : "") + data;
+        text += is_framed ? format_chunk(bytes) : bytes;
         co_await asio::async_write(*socket, asio::buffer(text), into(error));
         if (error)
             co_return false;
@@ -218,9 +239,22 @@
         if (breaks)
             co_return false;
     }
-    text = "0\r\n\r\n";
+    if (garbage_after == settings_.stream_events + 1)
+        text = is_framed ? format_chunk(garbage()) : garbage();
+    if (is_framed)
+        text += "0\r\n\r\n";
     co_await asio::async_write(*socket, asio::buffer(text), into(error));
-    co_return !error;
+    co_return is_framed && !error;
+}
+
+std::string work_server::garbage()
+{
+    const std::string other = "HTTP/1.1 200 OK\r\nOriolefall-Attempt-Id: other"
+                              "\r\nContent-Length: 5\r\n\r\nother";
+    const std::array<std::string, 4> forms{other + "\r\n\r\n", "no event\n\n",
+                                           "\n\nno event\r\n\r\n",
+                                           "data: no number\n\n"};
+    return forms.at(random_() % forms.size());
 }
 
 } // namespace oriolefall::soak
--- a/tests/adapter/soak/work_server.hpp
+++ b/tests/adapter/soak/work_server.hpp
@@ -22,7 +22,8 @@
     slow,
     /// Runs a request and closes the connection.
     loses_answers,
-    /// Answers with bytes that are no answer, or with more than one.
+    /// Answers with bytes that are no answer, or with more than one; streams
+    /// go on with such bytes, some of them without length or chunks.
     garbles,
     /// Turns requests away and wants none for `quiet_time`.
     wants_quiet
@@ -74,6 +75,8 @@
     task<bool> answer(const socket_ptr& socket, const std::string& id,
                       run& begun);
     task<bool> stream(const socket_ptr& socket, const request& asked);
+    /// Bytes that no run made.
+    [[nodiscard]] std::string garbage();
     [[nodiscard]] std::string head(const std::string& id,
                                    const std::string& status);
 
