forward: an unnamed answer on a used connection belongs to nobody

What went wrong elsewhere, and could here: a server sent a second copy of an answer, late, on a connection that was in use again. One that names another request was discarded, but one that names none was taken for the next caller's, also where it said that the request had not run, which is a promise.

Cause: an answer without an id matched every request. Change: on a connection that has carried calls before, such an answer breaks the call (malformed, unnamed_answer); on a new connection it still belongs to the only request. Evidence: forwarder/an_unnamed_answer_on_a_used_connection_belongs_to_nobody failed before.

--- a/oriolefall/forward/exchange_answer.cpp
+++ b/oriolefall/forward/exchange_answer.cpp
@@ -32,6 +32,11 @@
     if (!head_info_.matches_request)
         return false;
     answer_head_ = head;
+    if (!head_info_.names_request && earlier_calls_ > 0) {
+        // It may have been sent, late, for a call before this one.
+        on_malformed("unnamed_answer");
+        return true;
+    }
     if (!head_info_.wrong_server)
         record_restrictions();
     const auto keep_alive =
--- a/oriolefall/forward/protocol_hooks.hpp
+++ b/oriolefall/forward/protocol_hooks.hpp
@@ -36,6 +36,8 @@
     /// False when the answer names another request than this one; true when it
     /// names this one or none.
     bool matches_request = true;
+    /// The answer names the request that it belongs to.
+    bool names_request = false;
     /// The server states that it did not run the request.
     bool not_run = false;
     /// The address belongs to another server than the one that was called.
--- a/tests/forward/forwarder_test.cpp
+++ b/tests/forward/forwarder_test.cpp
@@ -386,3 +386,30 @@
     caller.read_until("ok");
     cr_assert(server_request.ends_with("Content-Length: 5\r\n\r\nabcde"));
 }
+
+// A late answer that names no request was passed on to the next caller.
+Test(forwarder, an_unnamed_answer_on_a_used_connection_belongs_to_nobody)
+{
+    scripted_server server([](scripted_connection& connection) {
+        connection.read_request();
+        connection.write(format_answer("r1", "own"));
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nX-Signed: 1\r\n"
+                         "Content-Length: 4\r\n\r\nlate");
+        connection.wait_for_close();
+    });
+    forwarder_fixture fixture(test_protocol());
+    raw_caller caller(fixture.port());
+    for (const std::uint64_t call : {1, 2}) {
+        caller.send(format_request("r1"));
+        fixture.send_call(fixture.next<dispatch::arrival>(), server, call);
+        if (call == 1) {
+            fixture.next<dispatch::call_answer_started>();
+            fixture.next<dispatch::call_completed>();
+        }
+    }
+    const auto broken = fixture.next<dispatch::call_broken>();
+    cr_assert_eq(broken.details.fault, "unnamed_answer");
+    cr_assert_eq(broken.details.earlier_calls, 1);
+    cr_assert_eq(server.connection_count(), 1);
+}
--- a/tests/forward/test_protocol.cpp
+++ b/tests/forward/test_protocol.cpp
@@ -36,8 +36,10 @@
     hooks.read_answer = [](const forward::request_head& request,
                            const forward::answer_head& head) {
         forward::answer_head_info info;
+        const std::string request_id = value_of(head, "X-Request");
+        info.names_request = !request_id.empty();
         info.matches_request =
-            value_of(head, "X-Request") == value_of(request, "X-Request");
+            !info.names_request || request_id == value_of(request, "X-Request");
         info.is_signed = !value_of(head, "X-Signed").empty();
         info.not_run = !value_of(head, "X-Not-Run").empty();
         info.notice.is_leaving = !value_of(head, "X-Leaving").empty();
