forward: an encoded success, or one that is no event stream, is malformed

Change: both break the call (malformed; encoded_body, no_event_stream). Evidence: forwarder/an_encoded_success_is_malformed and forwarder/a_success_that_is_no_ event_stream_is_no_stream failed before.

--- a/oriolefall/forward/exchange_answer.cpp
+++ b/oriolefall/forward/exchange_answer.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/forward/exchange.hpp"
 
 #include "oriolefall/core/clock.hpp"
+#include "oriolefall/core/text.hpp"
 #include "oriolefall/net/header_fields.hpp"
 
 #include <algorithm>
@@ -19,6 +20,21 @@
         .starts_with("text/event-stream");
 }
 
+bool is_identity(std::string_view codings)
+{
+    return codings.empty() || core::equals_ignore_case(codings, "identity");
+}
+
+bool is_encoded(const answer_head& head)
+{
+    return !is_identity(net::field_value(head, "Content-Encoding"));
+}
+
+bool accepts_encodings(const request_head& head)
+{
+    return !is_identity(net::field_value(head, "Accept-Encoding"));
+}
+
 bool is_success(unsigned status)
 {
     return status / 100 == success_class;
@@ -48,9 +64,14 @@
         forwarding_ = forwarding::discarded;
     } else if (is_success(status) && !head_info_.is_signed) {
         on_malformed("unsigned_success");
-    } else if (is_success(status) && current_call_->is_stream &&
-               is_event_stream(head)) {
-        forwarding_ = forwarding::events;
+    } else if (is_success(status) && is_encoded(head) &&
+               !accepts_encodings(request_)) {
+        on_malformed("encoded_body");
+    } else if (is_success(status) && current_call_->is_stream) {
+        if (is_event_stream(head))
+            forwarding_ = forwarding::events;
+        else
+            on_malformed("no_event_stream");
     } else if (is_answer_started_) {
         // Part of an earlier answer has been written already; only a stream
         // can continue it.
--- a/tests/forward/forwarder_test.cpp
+++ b/tests/forward/forwarder_test.cpp
@@ -413,3 +413,34 @@
     cr_assert_eq(broken.details.earlier_calls, 1);
     cr_assert_eq(server.connection_count(), 1);
 }
+
+// Callers that ask for no encoding took encoded bytes for the body.
+Test(forwarder, an_encoded_success_is_malformed)
+{
+    scripted_server server(always_answers(
+        format_answer("r1", "zip", "Content-Encoding: gzip\r\n")));
+    forwarder_fixture fixture(test_protocol());
+    raw_caller caller(fixture.port());
+    caller.send(format_request("r1"));
+    fixture.send_call(fixture.next<dispatch::arrival>(), server);
+    cr_assert_eq(fixture.next<dispatch::call_broken>().details.fault,
+                 "encoded_body");
+    caller.close();
+    raw_caller accepting(fixture.port());
+    accepting.send(format_request("r1", "", "Accept-Encoding: gzip\r\n"));
+    fixture.next<dispatch::caller_left>();
+    fixture.send_call(fixture.next<dispatch::arrival>(), server, 2);
+    cr_assert(accepting.read_until("zip").ends_with("zip"));
+}
+
+// A success of another type was passed on as the whole stream.
+Test(forwarder, a_success_that_is_no_event_stream_is_no_stream)
+{
+    scripted_server server(always_answers(format_answer("r1", "{}")));
+    forwarder_fixture fixture(test_protocol());
+    raw_caller caller(fixture.port());
+    caller.send(format_request("r1"));
+    fixture.send_stream_call(fixture.next<dispatch::arrival>(), server);
+    cr_assert_eq(fixture.next<dispatch::call_broken>().details.fault,
+                 "no_event_stream");
+}
