forward: what an answer's numbers and head tell is asked for too

Change: numbers rise strictly within a call; where one doesn't, a piece before it may be wrong, and nothing is resumed behind it (call_broken::may_resume). The splitter reads each line as it ends, so that garbage is told before a blank line comes, in any cuts. What a head must look like stands in one place (answer_form), and whose answer it is has three cases. A stream that ends inside an event says so in the log (unfinished_event).

Result: tests of each, in forward and dispatch.

--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -167,7 +167,8 @@
     request->may_have_run = true;
     request->has_answer_started =
         request->has_answer_started || event.has_answer_started;
-    if (would_crash_again || !may_retry(*request) || !try_retry(*request))
+    if (!event.may_resume || would_crash_again || !may_retry(*request) ||
+        !try_retry(*request))
         end_with_refusal(*request, refusal::outcome_unknown);
 }
 
--- a/oriolefall/dispatch/event.hpp
+++ b/oriolefall/dispatch/event.hpp
@@ -114,6 +114,9 @@
     broken_cause cause = broken_cause::connection_lost;
     /// Part of the answer has been sent to the caller.
     bool has_answer_started = false;
+    /// False when a part that was sent may be wrong, so that no other server
+    /// can continue the answer.
+    bool may_resume = true;
     broken_call_details details = {};
     auto operator<=>(const call_broken&) const = default;
 };
--- a/oriolefall/forward/event_form.hpp
+++ b/oriolefall/forward/event_form.hpp
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -11,11 +12,11 @@
 /// Why the bytes of a stream are no event that a run has made.
 enum class event_fault : std::uint8_t
 {
-    not_text,     ///< a control character, or bytes that are not UTF-8
-    unknown_line, ///< a line that is neither a field nor a comment
+    not_text,     ///< a zero byte or return, or bytes that are not UTF-8
+    unknown_line, ///< no comment, and no field with a name in lower case
     no_number,    ///< no id, several, or one that is no number
     no_data,      ///< no data field
-    out_of_order, ///< a lower number than that of an event before
+    out_of_order, ///< a number that is not above that of the event before
     too_large     ///< more bytes than an event may have
 };
 
@@ -38,9 +39,31 @@
 
 using event_form = std::variant<event_number, comment_only, event_fault>;
 
-/// Checks one server-sent event (WHATWG HTML, section 9.2) with the blank line
-/// that ends it. Beyond the standard each event has a number, and the name of a
-/// field that the standard doesn't know is in lower case. Thread-safe.
+/// Checks one server-sent event (WHATWG HTML, section 9.2), line by line.
+/// Beyond the standard each event has a number, and a field that the standard
+/// doesn't know has a name in lower case and a colon. Not thread-safe.
+class event_form_reader
+{
+public:
+    /// Reads the next line, without its end. False when it is no line of an
+    /// event; `result` then says why.
+    bool read(std::string_view line);
+    /// The form of the event whose lines were read.
+    [[nodiscard]] event_form result() const;
+    /// A field was read, so that this is the beginning of an event.
+    [[nodiscard]] bool has_fields() const;
+
+private:
+    bool fail(event_fault fault);
+    bool read_number(std::string_view text);
+
+    std::optional<event_fault> fault_;
+    std::optional<std::uint64_t> number_;
+    bool has_fields_ = false;
+    bool has_data_ = false;
+};
+
+/// Checks one event, with or without the blank line that ends it. Thread-safe.
 [[nodiscard]] event_form read_event_form(std::string_view event);
 
 } // namespace oriolefall::forward
--- a/oriolefall/forward/event_splitter.cpp
+++ b/oriolefall/forward/event_splitter.cpp
@@ -1,12 +1,20 @@
 #include "oriolefall/forward/event_splitter.hpp"
 
+#include <utility>
 #include <variant>
 
 namespace oriolefall::forward {
 
+namespace {
+
+/// May stand before the first line of a stream.
+constexpr std::string_view byte_order_mark = "\xef\xbb\xbf";
+
+} // namespace
+
 event_splitter::event_splitter(std::optional<std::uint64_t> last_delivered_id,
                                std::size_t max_event_bytes)
-    : max_event_bytes_(max_event_bytes), last_event_id_(last_delivered_id)
+    : max_event_bytes_(max_event_bytes), last_returned_id_(last_delivered_id)
 {
 }
 
@@ -14,21 +22,15 @@
 {
     buffer_ += bytes;
     split_result result;
-    std::size_t event_begin = 0;
     while (!result.fault) {
         const std::size_t line_end = buffer_.find('\n', search_from_);
         if (line_end == std::string::npos)
             break;
-        const std::string_view line(buffer_.data() + line_begin_,
-                                    line_end - line_begin_);
-        line_begin_ = search_from_ = line_end + 1;
-        if (!line.empty() && line != "\r")
-            continue;
-        take({buffer_.data() + event_begin, line_begin_ - event_begin}, result);
-        event_begin = line_begin_;
+        read_line(line_end, result);
     }
-    buffer_.erase(0, event_begin);
-    line_begin_ -= event_begin;
+    buffer_.erase(0, event_begin_);
+    line_begin_ -= event_begin_;
+    event_begin_ = 0;
     search_from_ = buffer_.size();
     if (!result.fault && buffer_.size() > max_event_bytes_)
         result.fault = event_fault::too_large;
@@ -37,12 +39,16 @@
 
 bool event_splitter::is_inside_event() const
 {
-    return buffer_.find_first_not_of("\r\n") != std::string::npos;
+    const auto line = std::string_view(buffer_).substr(line_begin_);
+    const bool is_comment = line.starts_with(':');
+    return reader_.has_fields() ||
+           (!is_comment &&
+            line.find_first_not_of("\r\n") != std::string_view::npos);
 }
 
 std::optional<std::uint64_t> event_splitter::last_event_id() const
 {
-    return last_event_id_;
+    return last_returned_id_;
 }
 
 std::uint32_t event_splitter::event_count() const
@@ -55,26 +61,46 @@
     return buffer_.size();
 }
 
-void event_splitter::take(std::string_view event, split_result& result)
+void event_splitter::read_line(std::size_t line_end, split_result& result)
+{
+    std::string_view line(buffer_.data() + line_begin_, line_end - line_begin_);
+    if (std::exchange(is_first_line_, false) &&
+        line.starts_with(byte_order_mark)) {
+        event_begin_ = byte_order_mark.size();
+        line.remove_prefix(event_begin_);
+    }
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    line_begin_ = search_from_ = line_end + 1;
+    if (line.empty())
+        take_event(line_begin_, result);
+    else if (!reader_.read(line))
+        result.fault = std::get<event_fault>(reader_.result());
+}
+
+void event_splitter::take_event(std::size_t event_end, split_result& result)
 {
-    const event_form form = read_event_form(event);
+    const std::string_view event(buffer_.data() + event_begin_,
+                                 event_end - event_begin_);
+    const event_form form = std::exchange(reader_, {}).result();
     if (const auto* fault = std::get_if<event_fault>(&form))
         result.fault = *fault;
     else if (const auto* number = std::get_if<event_number>(&form))
         take_numbered(event, number->value, result);
+    event_begin_ = event_end;
 }
 
 void event_splitter::take_numbered(std::string_view event, std::uint64_t number,
                                    split_result& result)
 {
-    if (number < last_received_id_) {
+    if (last_received_id_ && number <= *last_received_id_) {
         result.fault = event_fault::out_of_order;
         return;
     }
     last_received_id_ = number;
-    if (last_event_id_ && number <= *last_event_id_)
+    if (last_returned_id_ && number <= *last_returned_id_)
         return;
-    last_event_id_ = number;
+    last_returned_id_ = number;
     result.events += event;
     ++event_count_;
 }
--- a/oriolefall/forward/event_splitter.hpp
+++ b/oriolefall/forward/event_splitter.hpp
@@ -25,7 +25,7 @@
 /// Splits a stream of server-sent events (WHATWG HTML, section 9.2) into
 /// complete events, so that a stream that breaks inside an event can be resumed
 /// at another server after the last complete event. Lets nothing through that
-/// is no event with a number. Not thread-safe.
+/// is no event with a rising number. Not thread-safe.
 class event_splitter
 {
 public:
@@ -49,21 +49,26 @@
     [[nodiscard]] std::size_t pending_bytes() const;
 
 private:
-    /// Appends a complete event to `result`, unless the caller has it.
-    void take(std::string_view event, split_result& result);
-    /// The same for an event with this number.
+    /// Reads the line from `line_begin_` to `line_end`.
+    void read_line(std::size_t line_end, split_result& result);
+    /// Takes the event that ends at `event_end`.
+    void take_event(std::size_t event_end, split_result& result);
+    /// Returns an event with this number, unless the caller has it.
     void take_numbered(std::string_view event, std::uint64_t number,
                        split_result& result);
 
     std::size_t max_event_bytes_;
     std::string buffer_;
-    /// Positions in `buffer_`: of the first line that isn't complete, and
-    /// before which no line ends.
+    /// Positions in `buffer_`: of the event and of the line that aren't
+    /// complete, and before which no line ends.
+    std::size_t event_begin_ = 0;
     std::size_t line_begin_ = 0;
     std::size_t search_from_ = 0;
+    bool is_first_line_ = true;
+    event_form_reader reader_;
     /// Of the events received, whether returned or not.
-    std::uint64_t last_received_id_ = 0;
-    std::optional<std::uint64_t> last_event_id_;
+    std::optional<std::uint64_t> last_received_id_;
+    std::optional<std::uint64_t> last_returned_id_;
     std::uint32_t event_count_ = 0;
 };
 
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -1,11 +1,29 @@
 #include "oriolefall/forward/exchange.hpp"
 
 #include "oriolefall/core/clock.hpp"
+#include "oriolefall/core/text.hpp"
+#include "oriolefall/net/header_fields.hpp"
 
+#include <absl/strings/numbers.h>
+
+#include <optional>
 #include <utility>
 
 namespace oriolefall::forward {
 
+namespace {
+
+/// Id of the event after which the caller resumes a stream.
+std::optional<std::uint64_t> parse_last_event_id(const request_head& head)
+{
+    std::uint64_t id = 0;
+    const auto text = net::field_value(head, "Last-Event-ID");
+    return absl::SimpleAtoi(core::to_absl(text), &id) ? std::optional(id)
+                                                      : std::nullopt;
+}
+
+} // namespace
+
 exchange::exchange(core::request_id id, caller_request request,
                    std::shared_ptr<caller_connection> caller,
                    dependencies dependencies)
@@ -14,6 +32,7 @@
       body_(std::make_shared<const std::string>(
           std::move(request.message.body()))),
       caller_(std::move(caller)), dependencies_(std::move(dependencies)),
+      splitter_(parse_last_event_id(request_)),
       stall_timer_(dependencies_.context)
 {
 }
@@ -211,15 +230,23 @@
 {
     const core::call_id call = current_call_->call;
     current_call_.reset();
-    dependencies_.report(dispatch::call_broken{
-        id_, call, cause, is_answer_started_, broken_details(fault)});
+    dependencies_.report(
+        dispatch::call_broken{.id = id_,
+                              .call = call,
+                              .cause = cause,
+                              .has_answer_started = is_answer_started_,
+                              .may_resume = may_resume_,
+                              .details = broken_details(fault)});
 }
 
 dispatch::broken_call_details
 exchange::broken_details(std::string_view fault) const
 {
-    return {fault, splitter_.event_count(), resumed_after_.value_or(0),
-            splitter_.last_event_id().value_or(0), earlier_calls_};
+    return {.fault = fault,
+            .events = splitter_.event_count(),
+            .resumed_after = resumed_after_.value_or(0),
+            .last_event = splitter_.last_event_id().value_or(0),
+            .earlier_calls = earlier_calls_};
 }
 
 void exchange::start_stall_timer(absl::Duration timeout)
--- a/oriolefall/forward/exchange.hpp
+++ b/oriolefall/forward/exchange.hpp
@@ -73,6 +73,9 @@
     [[nodiscard]] bool may_send() const;
     void record_restrictions();
     bool on_head(const answer_head& head);
+    /// Why this is no head of an answer to the current call; empty if it is.
+    [[nodiscard]] std::string_view find_fault(const answer_head& head) const;
+    [[nodiscard]] bool expects_event_stream() const;
     void on_body(std::string_view bytes);
     void on_done(answer_end end);
     void on_stream_body(std::string_view bytes);
@@ -117,6 +120,9 @@
     event_splitter splitter_;
     /// Id of the event after which the current call resumes the stream.
     std::optional<std::uint64_t> resumed_after_;
+    /// False once what was passed on of a stream can't be relied on.
+    bool may_resume_ = true;
+    /// Calls that the current call's connection has carried before it.
     std::uint32_t earlier_calls_ = 0;
     body_framing framing_;
     forwarding forwarding_ = forwarding::undecided;
--- a/oriolefall/forward/exchange_answer.cpp
+++ b/oriolefall/forward/exchange_answer.cpp
@@ -1,7 +1,7 @@
 #include "oriolefall/forward/exchange.hpp"
 
 #include "oriolefall/core/clock.hpp"
-#include "oriolefall/core/text.hpp"
+#include "oriolefall/forward/answer_form.hpp"
 #include "oriolefall/net/header_fields.hpp"
 
 #include <algorithm>
@@ -12,45 +12,17 @@
 namespace {
 
 constexpr unsigned first_server_error = 500;
-constexpr unsigned success_class = 2;
-
-bool is_event_stream(const answer_head& head)
-{
-    return net::field_value(head, "Content-Type")
-        .starts_with("text/event-stream");
-}
-
-bool is_identity(std::string_view codings)
-{
-    return codings.empty() || core::equals_ignore_case(codings, "identity");
-}
-
-bool is_encoded(const answer_head& head)
-{
-    return !is_identity(net::field_value(head, "Content-Encoding"));
-}
-
-bool accepts_encodings(const request_head& head)
-{
-    return !is_identity(net::field_value(head, "Accept-Encoding"));
-}
-
-bool is_success(unsigned status)
-{
-    return status / 100 == success_class;
-}
-
 } // namespace
 
 bool exchange::on_head(const answer_head& head)
 {
     head_info_ = dependencies_.protocol.read_answer(request_, head);
-    if (!head_info_.matches_request)
+    if (head_info_.addressed_to == addressee::another_request)
         return false;
     answer_head_ = head;
-    if (!head_info_.names_request && earlier_calls_ > 0) {
-        // It may have been sent, late, for a call before this one.
-        on_malformed("unnamed_answer");
+    const std::string_view fault = find_fault(head);
+    if (!fault.empty()) {
+        on_malformed(fault);
         return true;
     }
     if (!head_info_.wrong_server)
@@ -59,19 +31,10 @@
         parse_keep_alive_timeout(net::field_value(head, "Keep-Alive"));
     if (keep_alive && server_)
         server_->set_keep_alive_timeout(*keep_alive);
-    const unsigned status = head.result_int();
     if (head_info_.not_run || head_info_.wrong_server) {
         forwarding_ = forwarding::discarded;
-    } else if (is_success(status) && !head_info_.is_signed) {
-        on_malformed("unsigned_success");
-    } else if (is_success(status) && is_encoded(head) &&
-               !accepts_encodings(request_)) {
-        on_malformed("encoded_body");
-    } else if (is_success(status) && current_call_->is_stream) {
-        if (is_event_stream(head))
-            forwarding_ = forwarding::events;
-        else
-            on_malformed("no_event_stream");
+    } else if (is_success(head.result_int()) && expects_event_stream()) {
+        forwarding_ = forwarding::events;
     } else if (is_answer_started_) {
         // Part of an earlier answer has been written already; only a stream
         // can continue it.
@@ -82,6 +45,19 @@
     return true;
 }
 
+std::string_view exchange::find_fault(const answer_head& head) const
+{
+    const bool may_be_late = server_ && server_->has_carried_other_answers();
+    if (head_info_.addressed_to == addressee::unnamed && may_be_late)
+        return "unnamed_answer";
+    return find_head_fault(request_, head, head_info_, expects_event_stream());
+}
+
+bool exchange::expects_event_stream() const
+{
+    return current_call_->is_stream && request_.method() != http::verb::head;
+}
+
 void exchange::on_body(std::string_view bytes)
 {
     switch (forwarding_) {
@@ -142,8 +118,12 @@
 {
     const split_result split = splitter_.feed(bytes);
     forward_events(split.events);
-    if (split.fault)
-        on_malformed(to_string(*split.fault));
+    if (!split.fault)
+        return;
+    // One of the events passed on may be what doesn't belong.
+    if (split.fault == event_fault::out_of_order && splitter_.event_count() > 0)
+        may_resume_ = false;
+    on_malformed(to_string(*split.fault));
 }
 
 void exchange::finish_event_stream(answer_end end)
@@ -152,7 +132,8 @@
         end == answer_end::close && splitter_.event_count() == 0;
     if (is_empty || splitter_.is_inside_event()) {
         // The server stopped in the middle of its answer.
-        report_broken(dispatch::broken_cause::connection_lost);
+        report_broken(dispatch::broken_cause::connection_lost,
+                      is_empty ? "no_event" : "unfinished_event");
         return;
     }
     if (!is_answer_started_)
--- a/oriolefall/forward/protocol_hooks.hpp
+++ b/oriolefall/forward/protocol_hooks.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -30,14 +31,18 @@
     std::strong_ordering operator<=>(const call_additions&) const = default;
 };
 
+/// Whose answer it is, by the request that the answer names.
+enum class addressee : std::uint8_t
+{
+    this_request, ///< named, or this request has no name of its own
+    unnamed,      ///< the answer names none, and this request has a name
+    another_request
+};
+
 /// What the forwarding duty reads from the head of a backend server's answer.
 struct answer_head_info
 {
-    /// False when the answer names another request than this one; true when it
-    /// names this one or none.
-    bool matches_request = true;
-    /// The answer names the request that it belongs to.
-    bool names_request = false;
+    addressee addressed_to = addressee::this_request;
     /// The server states that it did not run the request.
     bool not_run = false;
     /// The address belongs to another server than the one that was called.
--- a/oriolefall/forward/server_connection.cpp
+++ b/oriolefall/forward/server_connection.cpp
@@ -285,6 +285,11 @@
     return earlier_calls_;
 }
 
+bool server_connection::has_carried_other_answers() const
+{
+    return earlier_calls_ > 0 || discarded_answers_ > 0;
+}
+
 void server_connection::set_keep_alive_timeout(
     std::chrono::milliseconds timeout)
 {
--- a/oriolefall/forward/server_connection.hpp
+++ b/oriolefall/forward/server_connection.hpp
@@ -86,6 +86,9 @@
     void close_if_idle();
     /// Number of calls that the connection has carried before this one.
     [[nodiscard]] std::uint32_t earlier_calls() const;
+    /// Answers to other requests may still arrive, late: this is not the first
+    /// one, or one has come already.
+    [[nodiscard]] bool has_carried_other_answers() const;
     /// Sets the timeout after which the server closes an idle connection.
     void set_keep_alive_timeout(std::chrono::milliseconds timeout);
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -152,6 +152,21 @@
                   first.server.value());
 }
 
+// A stream was resumed after an event that could not be relied on.
+Test(dispatcher, resumes_no_stream_of_which_a_sent_part_may_be_wrong)
+{
+    two_server_simulation simulation;
+    simulation.receive_request("resumable");
+    const send_call first = *simulation.last<send_call>();
+    simulation.step(call_answer_started{first.id, first.call, 200, {}});
+    call_broken faulty = broken(first, true);
+    faulty.cause = broken_cause::malformed;
+    faulty.may_resume = false;
+    simulation.step(faulty);
+    cr_assert_eq(simulation.count<send_call>(), 1);
+    cr_assert_eq(simulation.count<refuse>(), 1);
+}
+
 Test(dispatcher, forwards_an_error_answer_when_max_servers_is_reached)
 {
     two_server_simulation simulation;
--- a/tests/forward/event_form_test.cpp
+++ b/tests/forward/event_form_test.cpp
@@ -14,6 +14,8 @@
     for (const std::string_view event :
          {"id: 7\ndata: a\n\n", "data: a\r\nid:7\r\n\r\n", "id: 7\ndata\n\n",
           ": note\nid: 7\nevent: e\nretry: 5\ndata: a\n\n",
+          "event\nid: 7\nretry\ndata: \x1b[0m\n\n",
+          "id: +007\ndata: a\ndata: b\n\n",
           "oriolefall-weight-versions: 3\nid: 7\ndata: \xc4\x93\tb\n\n"})
         cr_assert(read_event_form(event) == event_form(event_number{7}), "%s",
                   event.data());
--- a/tests/forward/forwarder_test.cpp
+++ b/tests/forward/forwarder_test.cpp
@@ -392,6 +392,71 @@
     cr_assert_eq(server.connection_count(), 1);
 }
 
+// A refusal of a request that has no name can't name it.
+Test(forwarder, an_unnamed_request_may_get_an_unnamed_refusal)
+{
+    scripted_server server(always_answers("HTTP/1.1 400 Bad\r\nX-Not-Run: 1\r\n"
+                                          "Content-Length: 0\r\n\r\n"));
+    forwarder_fixture fixture(test_protocol());
+    raw_caller caller(fixture.port());
+    for (const std::uint64_t call : {1, 2}) {
+        caller.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+        const auto arrival = fixture.next<dispatch::arrival>();
+        fixture.send_call(arrival, server, call);
+        cr_assert(fixture.next<dispatch::call_not_run>().cause ==
+                  dispatch::not_run_cause::refused);
+        fixture.submit(dispatch::refuse{
+            arrival.id, dispatch::refusal::overloaded, true, {}});
+    }
+}
+
+// Behind an answer to another request an unnamed one was taken for the own.
+Test(forwarder, an_unnamed_answer_after_a_discarded_one_belongs_to_nobody)
+{
+    scripted_server server(always_answers(
+        format_answer("r0", "stale") +
+        "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 4\r\n\r\nlate"));
+    forwarder_fixture fixture(test_protocol());
+    raw_caller caller(fixture.port());
+    caller.send(format_request("r1"));
+    fixture.send_call(fixture.next<dispatch::arrival>(), server);
+    cr_assert_eq(fixture.next<dispatch::call_broken>().details.fault,
+                 "unnamed_answer");
+}
+
+// A status that is none was passed on as a status line that is none.
+Test(forwarder, a_status_that_is_none_is_malformed)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        scripted_server server(
+            always_answers("HTTP/1.1 " + status +
+                           " x\r\nX-Request: r1\r\nContent-Length: 0\r\n\r\n"));
+        forwarder_fixture fixture(test_protocol());
+        raw_caller caller(fixture.port());
+        caller.send(format_request("r1"));
+        fixture.send_call(fixture.next<dispatch::arrival>(), server);
+        cr_assert_eq(fixture.next<dispatch::call_broken>().details.fault,
+                     "status");
+    }
+}
+
+// The answer to a HEAD for a stream had the last chunk of a body behind it.
+Test(forwarder, an_answer_to_head_for_a_stream_is_a_head_only)
+{
+    scripted_server server(always_answers(format_stream_head("r1")));
+    forwarder_fixture fixture(test_protocol());
+    raw_caller caller(fixture.port());
+    for (const std::uint64_t call : {1, 2}) {
+        caller.send("HEAD /x HTTP/1.1\r\nHost: a\r\nX-Request: r1\r\n\r\n");
+        fixture.send_stream_call(fixture.next<dispatch::arrival>(), server,
+                                 call);
+        fixture.next<dispatch::call_answer_started>();
+        fixture.next<dispatch::call_completed>();
+    }
+    caller.finish_sending();
+    cr_assert(caller.read_all().find(last_chunk) == std::string::npos);
+}
+
 // Callers that ask for no encoding took encoded bytes for the body.
 Test(forwarder, an_encoded_success_is_malformed)
 {
