dispatch: a server that sends garbage has not crashed

Only a lost connection counts now. Test: crashing_prompt/servers_that_send_garbage_have_not_crashed.

--- a/oriolefall/dispatch/dispatcher.cpp
+++ b/oriolefall/dispatch/dispatcher.cpp
@@ -157,7 +157,9 @@
     if (request == nullptr)
         return;
     log_broken(*request, event);
-    record_broken_call(*request);
+    // A server that sends what is no answer is alive.
+    if (event.cause == broken_cause::connection_lost)
+        record_broken_call(*request);
     const bool would_crash_again =
         request->call->answer_started_at == absl::InfinitePast() &&
         quarantine_.is_suspected(shared_parts(request->arrival_event.prompt));
--- a/tests/dispatch/crashing_prompt_test.cpp
+++ b/tests/dispatch/crashing_prompt_test.cpp
@@ -206,3 +206,19 @@
     cr_assert_eq(engines.count<quarantine_change>(), 0);
     cr_assert_eq(engines.receive({common_part}, false), 1);
 }
+
+// Servers that sent garbage were taken for crashed, and the prompts with them.
+Test(crashing_prompt, servers_that_send_garbage_have_not_crashed)
+{
+    crashing_engines engines;
+    for (int i = 0; i < 20; ++i) {
+        const auto id = engines.receive_request(
+            "stream", {common_part, engines.next_own_part()});
+        const send_call call = *engines.last<send_call>();
+        engines.advance(absl::Seconds(1));
+        engines.step(
+            call_broken{id, call.call, broken_cause::malformed, false});
+        engines.advance(absl::Seconds(60));
+    }
+    cr_assert_eq(engines.count<quarantine_change>(), 0);
+}
