peer: a head that HTTP/2 refuses ends the session

What was seen: a test that sends heads without end to an acceptor (10 MB, 2,000 heads without a method or path) found the session open, waiting for the next one. Only the time of the handshake ended the connection, which was then counted as `handshake_timeout`. Cause: nghttp2 resets the stream of a head that it refuses and drops what follows on it; the only callback is the end of the stream, and the session looked at that of its own stream alone. Change: the end of any other stream is `malformed`. A session has one stream.

--- a/oriolefall/peer/session.cpp
+++ b/oriolefall/peer/session.cpp
@@ -218,8 +218,9 @@
                              std::uint32_t /*error*/, void* user_data)
 {
     auto& self = *static_cast<session*>(user_data);
-    if (stream == self.stream_)
-        self.close(refusal::connection_lost);
+    // nghttp2 resets a stream whose head it refuses, and reports only its end.
+    self.close(stream == self.stream_ ? refusal::connection_lost
+                                      : refusal::malformed);
     return 0;
 }
 
--- a/tests/peer/session_test.cpp
+++ b/tests/peer/session_test.cpp
@@ -176,3 +176,21 @@
             RC_ASSERT(two.peer().instance == "one");
     }));
 }
+
+// A head that HTTP/2 forbids left the session waiting for another one.
+Test(session, a_refused_head_ends_the_session)
+{
+    session acceptor(connection_role::acceptor, settings_of("two"));
+    const std::string opening("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+                              "\0\0\0\4\0\0\0\0\0",
+                              33);
+    // A request with the field "a: b" alone, on stream 1.
+    const std::string head("\0\0\5\1\4\0\0\0\1"
+                           "\0\1a\1b",
+                           14);
+    cr_assert(acceptor.feed(opening));
+    acceptor.feed(head);
+    std::string output;
+    acceptor.take_output(output, max_record);
+    cr_assert(acceptor.close_reason() == refusal::malformed);
+}
