follow: bytes between two calls to the store answer no call

Cause: bytes behind an answer closed the connection only if they came with it. Those that came while no call was made, such as a second copy of an answer, stayed in the kernel and were taken for the answer to the next call: answers of the store name no call. Change: a connection that has such bytes before a call is replaced. Result: store_connection/bytes_between_two_calls_answer_no_call, which failed before (the second call got the bytes sent before it); all 52 tests of tests_follow pass. Bytes that arrive after a call was sent can't be told from its answer.

--- a/oriolefall/follow/store_connection.cpp
+++ b/oriolefall/follow/store_connection.cpp
@@ -40,6 +40,8 @@
         request_.body() = request.body;
     }
     request_.prepare_payload();
+    if (has_unasked_bytes())
+        stream_.reset();
     const bool is_connected = stream_.has_value();
     if (!is_connected)
         stream_.emplace(context_);
@@ -73,6 +75,14 @@
         });
 }
 
+bool store_connection::has_unasked_bytes() const
+{
+    if (!stream_)
+        return false;
+    error_code error;
+    return stream_->socket().available(error) > 0 || error;
+}
+
 void store_connection::send()
 {
     stream_->expires_after(timeout_);
--- a/oriolefall/follow/store_connection.hpp
+++ b/oriolefall/follow/store_connection.hpp
@@ -52,6 +52,8 @@
     void call(const store_request& request, result_hook on_result);
 
 private:
+    /// Bytes came while no call was made; they answer none.
+    [[nodiscard]] bool has_unasked_bytes() const;
     void send();
     void receive();
     void receive_some();
--- a/tests/follow/store_connection_test.cpp
+++ b/tests/follow/store_connection_test.cpp
@@ -199,3 +199,37 @@
     context.run();
     cr_assert_eq(bodies, "aa");
 }
+
+// Bytes that came between two calls were taken for the answer to the second.
+Test(store_connection, bytes_between_two_calls_answer_no_call)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    std::vector<tcp::socket> accepted;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const error_code& error, tcp::socket socket) {
+            if (error)
+                return;
+            accepted.push_back(std::move(socket));
+            asio::write(accepted.back(), asio::buffer(answer + "a"));
+            accept();
+        });
+    };
+    accept();
+    const auto connection = std::make_shared<store_connection>(
+        context, core::endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
+    store_request request;
+    request.target = "/";
+    std::string bodies;
+    connection->call(request, [&](const store_result& first) {
+        bodies += std::get<store_answer>(first).body;
+        asio::write(accepted.back(), asio::buffer(answer + "b"));
+        connection->call(request, [&](const store_result& second) {
+            bodies += std::get<store_answer>(second).body;
+            context.stop();
+        });
+    });
+    context.run();
+    cr_assert_eq(bodies, "aa");
+}
