backend: a connection on which bytes wait is not used again

What callers of serve would see: the answer to somebody else's call as their own, where a server sends a second copy of an answer, late. Cause: cpp-httplib uses a kept connection as long as it can be read, so that bytes of a call before were the answer to the next one; engines' answers name no request. Change: the cache asks, before a connection is used again, whether bytes wait or its end. Evidence: foreign_bytes/a_connection_with_bytes_of_a_call_before_is_not_used_again failed before (the second call's text was that of the first) and passes. Open: bytes that come between the question and the request can't be told, as no answer names its request.

--- a/oriolefall/backend/connection_cache.cpp
+++ b/oriolefall/backend/connection_cache.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <poll.h>
+
 #include <utility>
 
 namespace oriolefall::backend {
@@ -13,6 +15,13 @@
     return absl::StrCat(endpoint.address, ":", endpoint.port);
 }
 
+/// True if the peer has closed the connection, or sent what answers no call.
+bool has_unread_bytes(const httplib::Client& connection)
+{
+    pollfd socket{.fd = connection.socket(), .events = POLLIN, .revents = 0};
+    return ::poll(&socket, 1, 0) > 0;
+}
+
 } // namespace
 
 connection_cache::connection_cache(const call_worker_settings& settings)
@@ -25,10 +34,11 @@
     {
         const std::lock_guard lock(mutex_);
         std::vector<connection_ptr>& idle = idle_[cache_key(endpoint)];
-        if (!idle.empty()) {
+        while (!idle.empty()) {
             connection_ptr connection = std::move(idle.back());
             idle.pop_back();
-            return connection;
+            if (!has_unread_bytes(*connection))
+                return connection;
         }
     }
     return make(endpoint);
--- a/oriolefall/backend/connection_cache.hpp
+++ b/oriolefall/backend/connection_cache.hpp
@@ -23,7 +23,8 @@
     explicit connection_cache(const call_worker_settings& settings);
 
     /// Returns an idle connection to `endpoint`, or a new one that connects on
-    /// its first use.
+    /// its first use. One on which bytes wait is closed instead: they belong to
+    /// a call before.
     [[nodiscard]] connection_ptr acquire(const core::endpoint& endpoint);
     /// Returns a new connection that connects on its first use.
     [[nodiscard]] connection_ptr make(const core::endpoint& endpoint) const;
--- /dev/null
+++ b/tests/backend/foreign_bytes_test.cpp
@@ -0,0 +1,163 @@
+#include "oriolefall/backend/call_worker_pool.hpp"
+
+#include "tests/forward/scripted_server.hpp"
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using tests::scripted_connection;
+using tests::scripted_server;
+
+namespace {
+
+const std::string load_fields = "X-Load-Running: 3\r\nX-Load-Queued: 2\r\n"
+                                "X-Load-Cache-Used: 0.5\r\n"
+                                "X-Load-Age-Ms: 10\r\n";
+
+std::string answer(const std::string& type, const std::string& body,
+                   const std::string& fields = {})
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string stream(const std::string& events, const std::string& fields = {})
+{
+    return answer("text/event-stream", events, fields);
+}
+
+std::string token(const std::string& text)
+{
+    return R"(data: {"choices":[{"index":0,"delta":{"content":")" + text +
+           R"("},"finish_reason":null}]})" + "\n\n";
+}
+
+std::string token(int index, const std::string& text)
+{
+    return "id: " + std::to_string(index) + "\n" + token(text);
+}
+
+const std::string done = "data: [DONE]\n\n";
+
+/// Answers the request number n of a connection with `answers[n]`.
+scripted_server::script answer_in_turn(std::vector<std::string> answers)
+{
+    return [answers = std::move(answers)](scripted_connection& connection) {
+        for (const std::string& each : answers) {
+            if (connection.read_request().empty())
+                return;
+            connection.write(each);
+        }
+        connection.wait_for_close();
+    };
+}
+
+/// What came of a call.
+struct outcome
+{
+    std::string text;
+    core::verdict verdict;
+    std::vector<decision::load_reported> loads;
+};
+
+/// Calls one server, with one worker.
+class caller
+{
+public:
+    explicit caller(scripted_server::script script)
+        : server_(std::move(script)),
+          pool_({.worker_count = 1, .max_queued_calls = 1}, hooks())
+    {
+    }
+
+    outcome call(core::call_kind kind = core::call_kind::generate)
+    {
+        backend::call_task task;
+        task.call.call = core::call_id(1);
+        task.call.gap_timeout = absl::Seconds(5);
+        task.call.deadline = absl::InfiniteFuture();
+        task.server.endpoint = server_.endpoint();
+        task.server.kind = kind;
+        task.payload = std::make_shared<const core::payload>(
+            core::payload{.path = "/v1/chat/completions", .body = "{}"});
+        task.answers = std::make_shared<core::answer_ring>(256);
+        task.on_ended = [this](const decision::call_ended& end) {
+            ends_.try_push(end);
+        };
+        const core::answer_ring_ptr answers = task.answers;
+        cr_assert(pool_.try_start(std::move(task)));
+        const auto end = ends_.pop();
+        outcome result{{}, end->verdict, std::exchange(loads_, {})};
+        while (answers->size() > 0)
+            result.text += text_of(*answers->pop());
+        return result;
+    }
+
+private:
+    static std::string text_of(const core::answer_part& part)
+    {
+        if (const auto* body = std::get_if<core::answer_body>(&part))
+            return body->body;
+        const auto* token = std::get_if<core::answer_token>(&part);
+        return token == nullptr ? "" : token->text;
+    }
+
+    backend::call_hooks hooks()
+    {
+        return {.on_progress = [](const auto&) {},
+                .on_load_report =
+                    [this](const auto& load) { loads_.push_back(load); }};
+    }
+
+    scripted_server server_;
+    /// Written by the worker before it tells the end of the call.
+    std::vector<decision::load_reported> loads_;
+    core::bounded_ring<decision::call_ended> ends_{8};
+    backend::call_worker_pool pool_;
+};
+
+bool has_failed(const outcome& result)
+{
+    const core::verdict failed =
+        core::may_have_run{core::reason::backend_error};
+    return result.verdict == failed;
+}
+
+} // namespace
+
+// A second copy of an answer was taken for the answer to the next call.
+Test(foreign_bytes, a_connection_with_bytes_of_a_call_before_is_not_used_again)
+{
+    std::atomic<int> connections = 0;
+    std::promise<void> has_ended;
+    std::promise<void> has_sent_copy;
+    caller caller([&](scripted_connection& connection) {
+        const bool is_first = ++connections == 1;
+        if (connection.read_request().empty())
+            return;
+        const std::string answer =
+            stream(token(0, is_first ? "a" : "b") + done);
+        connection.write(answer);
+        if (is_first) {
+            has_ended.get_future().wait();
+            connection.write(answer);
+            has_sent_copy.set_value();
+        }
+        connection.wait_for_close();
+    });
+    cr_assert(caller.call().text == "a");
+    has_ended.set_value();
+    has_sent_copy.get_future().wait();
+    const outcome second = caller.call();
+    cr_assert(second.text == "b", "%s", second.text.c_str());
+    cr_assert(std::holds_alternative<core::ran>(second.verdict));
+}
