backend: nothing behind the end of a stream is part of it

Callers of serve would have received tokens that stood behind [DONE]; an error there turned a whole answer into a broken one. Cause: the runner read on after the end. Change: what follows ends the exchange, its connection is closed, the answer counts as whole. Evidence: foreign_bytes/nothing_behind_the_end_of_a_stream_is_part_of_it failed before (the text was "ab", not "a") and passes.

--- a/oriolefall/backend/call_runner.cpp
+++ b/oriolefall/backend/call_runner.cpp
@@ -124,7 +124,8 @@
 bool call_runner::on_bytes(std::string_view bytes)
 {
     last_byte_at_ = core::monotonic_now();
-    if (control_.is_cancelled())
+    // What stands behind the end of the answer is no part of it.
+    if (control_.is_cancelled() || is_done_)
         return false;
     if (task_.server.kind == core::call_kind::service || status_ != status_ok) {
         body_.append(bytes);
@@ -139,6 +140,8 @@
 
 bool call_runner::on_event(const stream_event& event)
 {
+    if (is_done_)
+        return false;
     const engine_message message = parse_engine_event(event);
     if (const auto* token = std::get_if<engine_token>(&message))
         return on_token(*token);
--- a/tests/backend/foreign_bytes_test.cpp
+++ b/tests/backend/foreign_bytes_test.cpp
@@ -161,3 +161,19 @@
     cr_assert(second.text == "b", "%s", second.text.c_str());
     cr_assert(std::holds_alternative<core::ran>(second.verdict));
 }
+
+// What stood behind the end of a stream was passed on as part of it.
+Test(foreign_bytes, nothing_behind_the_end_of_a_stream_is_part_of_it)
+{
+    for (const std::string& behind :
+         {token(1, "b"), std::string("data: x\n\n"), token("b")}) {
+        std::string events = token(0, "a");
+        events += done;
+        events += behind;
+        caller caller(answer_in_turn({stream(events)}));
+        const outcome result = caller.call();
+        cr_assert(result.text == "a", "%s", result.text.c_str());
+        cr_assert(result.verdict == core::verdict(core::ran{1}), "%s",
+                  behind.c_str());
+    }
+}
