backend: a token without an index of its own fails the call

Each token of an engine has its index (docs/STAND_INS.md). One without was taken for the next, whoever sent it; behind another it had that one's id, counted as a duplicate and was left out of an answer that then ended as whole. Change: the indices of one call must be there and rise. Lower ones than the resume point are skipped as before, for engines that start anew. Evidence: foreign_bytes/a_token_without_an_index_of_its_own_fails_the_call failed before and passes.

--- a/oriolefall/backend/call_runner.cpp
+++ b/oriolefall/backend/call_runner.cpp
@@ -159,13 +159,16 @@
                deliver(
                    core::answer_token{next_index_, {}, token.finish_reason});
     }
-    const std::uint64_t index = token.index.value_or(next_index_);
-    if (index < next_index_)
-        return true;
-    if (index > next_index_) {
+    // An index that doesn't rise is that of a token before, or another's.
+    if (!token.index || token.index <= last_index_ ||
+        *token.index > next_index_) {
         has_engine_error_ = true;
         return false;
     }
+    const std::uint64_t index = *token.index;
+    last_index_ = index;
+    if (index < next_index_)
+        return true;
     if (!deliver(core::answer_token{index, token.text, token.finish_reason}))
         return false;
     ++next_index_;
--- a/oriolefall/backend/call_runner.hpp
+++ b/oriolefall/backend/call_runner.hpp
@@ -7,6 +7,7 @@
 #include "oriolefall/backend/engine_codec.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,8 @@
     std::vector<stream_event> events_;
     std::string body_;
     int status_ = 0;
+    /// Index of the last token with text that this call has received.
+    std::optional<std::uint64_t> last_index_;
     std::uint64_t next_index_;
     bool is_done_ = false;
     bool has_engine_error_ = false;
--- a/tests/backend/foreign_bytes_test.cpp
+++ b/tests/backend/foreign_bytes_test.cpp
@@ -177,3 +177,16 @@
                   behind.c_str());
     }
 }
+
+// A token without an index was taken for the next one, or, behind another, left
+// out without a word.
+Test(foreign_bytes, a_token_without_an_index_of_its_own_fails_the_call)
+{
+    for (const std::string& events :
+         {token("x") + done, token(0, "a") + token("x") + done}) {
+        caller caller(answer_in_turn({stream(events)}));
+        const outcome result = caller.call();
+        cr_assert(has_failed(result), "%s", events.c_str());
+        cr_assert(result.text.find('x') == std::string::npos);
+    }
+}
