backend: a load that is no number is not reported

A field that could not be read counted as 0, so that a confused engine seemed idle and drew calls; a share of the cache could be NaN or 7. Change: a report with such a field is not passed on; an absent field counts as 0 as before. Evidence: foreign_bytes/a_load_that_is_no_number_is_not_reported failed before and passes.

--- a/oriolefall/backend/call_runner.cpp
+++ b/oriolefall/backend/call_runner.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace oriolefall::backend {
@@ -19,21 +20,33 @@
 constexpr absl::Duration cancel_check_interval = absl::Milliseconds(100);
 constexpr absl::Duration default_retry_after = absl::Seconds(1);
 
+/// The number in a header field: 0 without the field, nullopt if it holds
+/// anything else.
 template <class Number>
-Number header_number(const httplib::Response& response, const char* name)
+std::optional<Number> header_number(const httplib::Response& response,
+                                    const char* name)
 {
     Number value{};
+    if (!response.has_header(name))
+        return value;
     const std::string text = response.get_header_value(name);
+    bool is_number = false;
     if constexpr (std::is_same_v<Number, double>)
-        static_cast<void>(absl::SimpleAtod(text, &value));
+        is_number = absl::SimpleAtod(text, &value);
     else
-        static_cast<void>(absl::SimpleAtoi(text, &value));
-    return value;
+        is_number = absl::SimpleAtoi(text, &value);
+    return is_number ? std::optional(value) : std::nullopt;
+}
+
+bool is_share(double value)
+{
+    return value >= 0.0 && value <= 1.0;
 }
 
 absl::Duration retry_after(const httplib::Response& response)
 {
-    const auto seconds = header_number<std::uint32_t>(response, "Retry-After");
+    const std::uint32_t seconds =
+        header_number<std::uint32_t>(response, "Retry-After").value_or(0);
     return seconds > 0 ? absl::Seconds(seconds) : default_retry_after;
 }
 
@@ -190,13 +203,20 @@
 {
     if (!response.has_header("X-Load-Running"))
         return;
-    hooks_.on_load_report(decision::load_reported{
-        .server = task_.server.id,
-        .running = header_number<std::uint32_t>(response, "X-Load-Running"),
-        .queued = header_number<std::uint32_t>(response, "X-Load-Queued"),
-        .cache_used = header_number<double>(response, "X-Load-Cache-Used"),
-        .age = absl::Milliseconds(
-            header_number<std::uint32_t>(response, "X-Load-Age-Ms"))});
+    const auto running =
+        header_number<std::uint32_t>(response, "X-Load-Running");
+    const auto queued = header_number<std::uint32_t>(response, "X-Load-Queued");
+    const auto cache_used =
+        header_number<double>(response, "X-Load-Cache-Used");
+    const auto age_ms = header_number<std::uint32_t>(response, "X-Load-Age-Ms");
+    if (!running || !queued || !cache_used || !is_share(*cache_used) || !age_ms)
+        return;
+    hooks_.on_load_report(
+        decision::load_reported{.server = task_.server.id,
+                                .running = *running,
+                                .queued = *queued,
+                                .cache_used = *cache_used,
+                                .age = absl::Milliseconds(*age_ms)});
 }
 
 void call_runner::report_progress()
--- a/tests/backend/foreign_bytes_test.cpp
+++ b/tests/backend/foreign_bytes_test.cpp
@@ -190,3 +190,22 @@
         cr_assert(result.text.find('x') == std::string::npos);
     }
 }
+
+// A load that is no number was taken for none, so that the engine seemed idle.
+Test(foreign_bytes, a_load_that_is_no_number_is_not_reported)
+{
+    const std::string events = token(0, "a") + done;
+    caller sound(answer_in_turn({stream(events, load_fields)}));
+    cr_assert_eq(sound.call().loads.size(), 1);
+    for (const char* fields :
+         {"X-Load-Running: x\r\n", "X-Load-Running: -1\r\n",
+          "X-Load-Running: 3\r\nX-Load-Queued: x\r\n",
+          "X-Load-Running: 3\r\nX-Load-Cache-Used: nan\r\n",
+          "X-Load-Running: 3\r\nX-Load-Cache-Used: 7\r\n",
+          "X-Load-Running: 3\r\nX-Load-Age-Ms: x\r\n"}) {
+        caller odd(answer_in_turn({stream(events, fields)}));
+        const outcome result = odd.call();
+        cr_assert(result.loads.empty(), "%s", fields);
+        cr_assert(result.text == "a");
+    }
+}
