backend: a success of a service is JSON

Whatever a service sent with a success was passed on as application/json: half of a body whose end only the connection's end tells, or a second answer behind it. Change: a success (but 204) whose body is not one JSON text may have run, backend_error, as docs/STAND_INS.md says that bodies are JSON. Error answers are passed on as before. Evidence: foreign_bytes/a_success_of_a_service_is_json failed before and passes; with it tests_backend, 16 of 16.

--- a/oriolefall/backend/call_runner.cpp
+++ b/oriolefall/backend/call_runner.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -13,7 +14,9 @@
 
 namespace {
 
+constexpr int success_class = 2;
 constexpr int status_ok = 200;
+constexpr int status_no_content = 204;
 constexpr int status_too_many_requests = 429;
 constexpr int status_unavailable = 503;
 /// Time between checks for cancellation while the caller's answer ring is full.
@@ -50,6 +53,14 @@
     return seconds > 0 ? absl::Seconds(seconds) : default_retry_after;
 }
 
+/// True if the answer of a service has the form that its status asks for.
+bool is_sound_body(int status, const std::string& body)
+{
+    const bool has_body =
+        status / 100 == success_class && status != status_no_content;
+    return !has_body || nlohmann::json::accept(body);
+}
+
 bool is_refusal_status(int status)
 {
     return status == status_too_many_requests || status == status_unavailable;
@@ -256,6 +267,8 @@
                                        : core::reason::backend_error;
         return make_call_ended(core::may_have_run{cause});
     }
+    if (!is_sound_body(status_, body_))
+        return make_call_ended(core::may_have_run{core::reason::backend_error});
     if (!deliver(
             core::answer_body{status_, "application/json", std::move(body_)}))
         return make_call_ended(core::may_have_run{core::reason::caller_gone});
--- a/tests/backend/foreign_bytes_test.cpp
+++ b/tests/backend/foreign_bytes_test.cpp
@@ -209,3 +209,20 @@
         cr_assert(result.text == "a");
     }
 }
+
+// Whatever a service sent with a success was passed on as JSON.
+Test(foreign_bytes, a_success_of_a_service_is_json)
+{
+    const std::string type = "application/json";
+    const std::string sound = R"({"id":"1","runs":1})";
+    caller good(answer_in_turn({answer(type, sound)}));
+    cr_assert(good.call(core::call_kind::service).text == sound);
+    for (const std::string& body :
+         {std::string("garbage"), sound + answer(type, sound),
+          sound.substr(0, 5), std::string()}) {
+        caller odd(answer_in_turn({answer(type, body)}));
+        const outcome result = odd.call(core::call_kind::service);
+        cr_assert(has_failed(result), "%s", body.c_str());
+        cr_assert(result.text.empty());
+    }
+}
