--- a/tests/forward/garbage_in_stream_test.cpp
+++ b/tests/forward/garbage_in_stream_test.cpp
@@ -1,6 +1,7 @@
 #include "forwarder_fixture.hpp"
 #include "test_protocol.hpp"
 
+#include "oriolefall/core/concat.hpp"
 #include "oriolefall/forward/http_text.hpp"
 
 #include <string>
@@ -35,17 +36,17 @@
 {
     const std::string framed = format_stream_head("r1") +
                                format_event_chunk(1) + format_event_chunk(2);
-    const std::string end(last_chunk);
     std::vector<std::string> answers;
     for (const std::string& garbage :
          {second_answer, std::string("no event\n\n"),
           std::string("\xff\xfe garbage \x01\r\n\r\n"),
           std::string("data: other\n\n"),
           std::string("id: 3\nda") + second_answer}) {
-        answers.push_back(framed + format_chunk(garbage) +
-                          format_event_chunk(3) + end);
-        answers.push_back(framed + format_chunk(garbage) + end);
-        answers.push_back(unframed_head + two_events + garbage);
+        const std::string chunk = format_chunk(garbage);
+        answers.push_back(
+            core::concat(framed, chunk, format_event_chunk(3), last_chunk));
+        answers.push_back(core::concat(framed, chunk, last_chunk));
+        answers.push_back(core::concat(unframed_head, two_events, garbage));
     }
     return answers;
 }
--- a/tests/router/page_duty_test.cpp
+++ b/tests/router/page_duty_test.cpp
@@ -1,6 +1,8 @@
 // What anybody sends to the pages ends one connection, never the process.
 #include "oriolefall/router/page_duty.hpp"
 
+#include "oriolefall/core/concat.hpp"
+
 #include "tests/front/raw_caller.hpp"
 
 #include <atomic>
@@ -92,8 +94,10 @@
          {"GET /" + filler, "GET / HTTP/1.1\r\nX: " + filler,
           "POST / HTTP/1.1\r\nContent-Length: 1000000000000000\r\n\r\n" +
               filler,
-          chunked_head + "5;a=" + filler, chunked_head + "0\r\nX: " + filler,
-          chunked_head + "0\r\nX: " + filler.substr(0, 70000) + "\r\n\r\n",
+          core::concat(chunked_head, "5;a=", filler),
+          core::concat(chunked_head, "0\r\nX: ", filler),
+          core::concat(chunked_head, "0\r\nX: ", filler.substr(0, 70000),
+                       "\r\n\r\n"),
           "no request at all\r\n\r\n" + filler}) {
         raw_caller caller(pages.port());
         caller.send(bytes);
