forward: the number of an event is read in one place

Found in the last reading of the diff: the id of an event and the caller's Last-Event-ID were parsed by two functions, and read_event_form walked over the lines of an event as the splitter does, for tests alone. Change: parse_event_number serves both; the walk stands with the tests that use it.

--- a/oriolefall/forward/event_form.cpp
+++ b/oriolefall/forward/event_form.cpp
@@ -4,7 +4,6 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
-#include <absl/strings/strip.h>
 #include <boost/locale/utf.hpp>
 
 #include <algorithm>
@@ -45,15 +44,6 @@
     });
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(core::to_absl(text)),
-                          &value))
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
 std::string_view to_string(event_fault value)
@@ -108,23 +98,15 @@
 bool event_form_reader::read_number(std::string_view text)
 {
     const bool is_second = number_.has_value();
-    number_ = parse_number(text);
+    number_ = parse_event_number(text);
     return (!is_second && number_) || fail(event_fault::no_number);
 }
 
-event_form read_event_form(std::string_view event)
+std::optional<std::uint64_t> parse_event_number(std::string_view text)
 {
-    event_form_reader reader;
-    while (!event.empty()) {
-        const auto line_end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, line_end);
-        event.remove_prefix(std::min(line_end + 1, event.size()));
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        if (!line.empty() && !reader.read(line))
-            break;
-    }
-    return reader.result();
+    std::uint64_t value = 0;
+    return absl::SimpleAtoi(core::to_absl(text), &value) ? std::optional(value)
+                                                         : std::nullopt;
 }
 
 } // namespace oriolefall::forward
--- a/oriolefall/forward/event_form.hpp
+++ b/oriolefall/forward/event_form.hpp
@@ -63,8 +63,10 @@
     bool has_data_ = false;
 };
 
-/// Checks one event, with or without the blank line that ends it. Thread-safe.
-[[nodiscard]] event_form read_event_form(std::string_view event);
+/// The number in the value of an id field, or of a Last-Event-ID header field.
+/// Thread-safe.
+[[nodiscard]] std::optional<std::uint64_t>
+parse_event_number(std::string_view text);
 
 } // namespace oriolefall::forward
 
--- a/oriolefall/forward/exchange.cpp
+++ b/oriolefall/forward/exchange.cpp
@@ -1,29 +1,12 @@
 #include "oriolefall/forward/exchange.hpp"
 
 #include "oriolefall/core/clock.hpp"
-#include "oriolefall/core/text.hpp"
 #include "oriolefall/net/header_fields.hpp"
 
-#include <absl/strings/numbers.h>
-
-#include <optional>
 #include <utility>
 
 namespace oriolefall::forward {
 
-namespace {
-
-/// Id of the event after which the caller resumes a stream.
-std::optional<std::uint64_t> parse_last_event_id(const request_head& head)
-{
-    std::uint64_t id = 0;
-    const auto text = net::field_value(head, "Last-Event-ID");
-    return absl::SimpleAtoi(core::to_absl(text), &id) ? std::optional(id)
-                                                      : std::nullopt;
-}
-
-} // namespace
-
 exchange::exchange(core::request_id id, caller_request request,
                    std::shared_ptr<caller_connection> caller,
                    dependencies dependencies)
@@ -32,7 +15,8 @@
       body_(std::make_shared<const std::string>(
           std::move(request.message.body()))),
       caller_(std::move(caller)), dependencies_(std::move(dependencies)),
-      splitter_(parse_last_event_id(request_)),
+      splitter_(
+          parse_event_number(net::field_value(request_, "Last-Event-ID"))),
       stall_timer_(dependencies_.context)
 {
 }
--- a/tests/forward/event_form_test.cpp
+++ b/tests/forward/event_form_test.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/forward/event_form.hpp"
 
+#include "read_event_form.hpp"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -8,6 +10,7 @@
 #include <criterion/criterion.h>
 
 using namespace oriolefall::forward;
+using oriolefall::tests::read_event_form;
 
 Test(event_form, a_numbered_event_with_data_is_one)
 {
--- a/tests/forward/event_splitter_test.cpp
+++ b/tests/forward/event_splitter_test.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/forward/event_splitter.hpp"
 
+#include "read_event_form.hpp"
+
 #include <algorithm>
 #include <rapidcheck.h>
 #include <string>
@@ -9,6 +11,7 @@
 #include <criterion/criterion.h>
 
 using namespace oriolefall::forward;
+using oriolefall::tests::read_event_form;
 
 namespace {
 
