--- a/oriolefall/backend/engine_command_worker.cpp
+++ b/oriolefall/backend/engine_command_worker.cpp
@@ -98,24 +98,18 @@
     const json body{{"order", "load_model"},
                     {"model", command.model.value()},
                     {"fencing_number", command.fencing_number}};
-    httplib::Request request;
-    request.method = "POST";
-    request.path = "/orders";
-    request.body = json_text::print(body);
-    request.set_header("Content-Type", "application/json");
-    command.on_result(parse_result(
-        http_call::send_bounded(client, std::move(request), max_answer_bytes)));
+    command.on_result(parse_result(http_call::send_bounded(
+        client,
+        http_call::make_request("POST", "/orders", {}, json_text::print(body)),
+        max_answer_bytes)));
 }
 
 void engine_command_worker::execute(const load_query& query) const
 {
     httplib::Client client(query.endpoint.address, query.endpoint.port);
     set_timeouts(client, timeout_);
-    httplib::Request request;
-    request.method = "GET";
-    request.path = "/load";
     if (const auto running = parse_load(http_call::send_bounded(
-            client, std::move(request), max_answer_bytes)))
+            client, http_call::make_request("GET", "/load"), max_answer_bytes)))
         query.on_answer(*running);
 }
 
--- a/oriolefall/http_call/bounded_call.cpp
+++ b/oriolefall/http_call/bounded_call.cpp
@@ -7,6 +7,19 @@
 
 namespace oriolefall::http_call {
 
+httplib::Request make_request(const char* method, const std::string& target,
+                              httplib::Headers headers, std::string body)
+{
+    httplib::Request request;
+    request.method = method;
+    request.path = target;
+    request.headers = std::move(headers);
+    request.body = std::move(body);
+    if (!request.body.empty())
+        request.set_header("Content-Type", "application/json");
+    return request;
+}
+
 httplib::Result send_bounded(httplib::Client& client, httplib::Request request,
                              std::size_t max_body_bytes)
 {
--- a/oriolefall/http_call/bounded_call.hpp
+++ b/oriolefall/http_call/bounded_call.hpp
@@ -4,9 +4,16 @@
 #include <httplib.h>
 
 #include <cstddef>
+#include <string>
 
 namespace oriolefall::http_call {
 
+/// A request; a body is JSON.
+[[nodiscard]] httplib::Request make_request(const char* method,
+                                            const std::string& target,
+                                            httplib::Headers headers = {},
+                                            std::string body = {});
+
 /// Sends a request and receives the whole answer. One whose body exceeds
 /// `max_body_bytes` is given up (`httplib::Error::Canceled`): by itself
 /// cpp-httplib receives for as long as bytes come. Blocks; as thread-safe as
--- a/oriolefall/objects/client.cpp
+++ b/oriolefall/objects/client.cpp
@@ -267,20 +267,6 @@
     return NoAnswer{};
 }
 
-httplib::Request make_request(const char* method, const std::string& target,
-                              httplib::Headers headers = {},
-                              std::string body = {})
-{
-    httplib::Request request;
-    request.method = method;
-    request.path = target;
-    request.headers = std::move(headers);
-    request.body = std::move(body);
-    if (!request.body.empty())
-        request.set_header("Content-Type", "application/json");
-    return request;
-}
-
 } // namespace
 
 client::raw_result client::get(const std::string& target,
@@ -288,7 +274,7 @@
 {
     http_->set_read_timeout(absl::ToChronoMicroseconds(io_timeout));
     return to_raw_result<raw_result, http_answer, not_sent, no_answer>(
-        http_call::send_bounded(*http_, make_request("GET", target),
+        http_call::send_bounded(*http_, http_call::make_request("GET", target),
                                 max_answer_bytes));
 }
 
@@ -305,9 +291,9 @@
         http_->set_read_timeout(
             absl::ToChronoMicroseconds(settings_.io_timeout));
         return to_raw_result<raw_result, http_answer, not_sent, no_answer>(
-            http_call::send_bounded(*http_,
-                                    make_request("PUT", target, headers, body),
-                                    max_answer_bytes));
+            http_call::send_bounded(
+                *http_, http_call::make_request("PUT", target, headers, body),
+                max_answer_bytes));
     };
 }
 
@@ -318,9 +304,9 @@
         http_->set_read_timeout(
             absl::ToChronoMicroseconds(settings_.io_timeout));
         return to_raw_result<raw_result, http_answer, not_sent, no_answer>(
-            http_call::send_bounded(*http_,
-                                    make_request("DELETE", target, headers),
-                                    max_answer_bytes));
+            http_call::send_bounded(
+                *http_, http_call::make_request("DELETE", target, headers),
+                max_answer_bytes));
     };
 }
 
--- a/tests/http_call/bounded_call_test.cpp
+++ b/tests/http_call/bounded_call_test.cpp
@@ -3,7 +3,6 @@
 #include "tests/forward/scripted_server.hpp"
 
 #include <string>
-#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -26,10 +25,8 @@
         connection.wait_for_close();
     });
     httplib::Client client(server.endpoint().address, server.endpoint().port);
-    httplib::Request request;
-    request.method = "GET";
-    request.path = "/a";
-    return http_call::send_bounded(client, std::move(request), limit);
+    return http_call::send_bounded(client, http_call::make_request("GET", "/a"),
+                                   limit);
 }
 
 } // namespace
