--- a/tests/follow/store_connection_test.cpp
+++ b/tests/follow/store_connection_test.cpp
@@ -1,5 +1,7 @@
 #include "oriolefall/follow/store_connection.hpp"
 
+#include "oriolefall/core/concat.hpp"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -166,20 +168,23 @@
     }
 }
 
-// Bytes after an answer were taken for the answer to the next call.
-Test(store_connection, bytes_after_an_answer_answer_no_call)
+namespace {
+
+const std::string answer_head = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+
+/// The bodies of two calls, one after the other, to a store that sends `bytes`
+/// on each new connection, and `between` before the second call.
+std::string call_twice(const std::string& bytes, const std::string& between)
 {
     asio::io_context context;
     tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
     std::vector<tcp::socket> accepted;
-    const std::string twice = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
-                              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb";
     std::function<void()> accept = [&] {
         acceptor.async_accept([&](const error_code& error, tcp::socket socket) {
             if (error)
                 return;
             accepted.push_back(std::move(socket));
-            asio::write(accepted.back(), asio::buffer(twice));
+            asio::write(accepted.back(), asio::buffer(bytes));
             accept();
         });
     };
@@ -191,45 +196,27 @@
     std::string bodies;
     connection->call(request, [&](const store_result& first) {
         bodies += std::get<store_answer>(first).body;
+        asio::write(accepted.back(), asio::buffer(between));
         connection->call(request, [&](const store_result& second) {
             bodies += std::get<store_answer>(second).body;
             context.stop();
         });
     });
     context.run();
-    cr_assert_eq(bodies, "aa");
+    return bodies;
+}
+
+} // namespace
+
+// Bytes after an answer were taken for the answer to the next call.
+Test(store_connection, bytes_after_an_answer_answer_no_call)
+{
+    cr_assert_eq(
+        call_twice(core::concat(answer_head, "a", answer_head, "b"), ""), "aa");
 }
 
 // Bytes that came between two calls were taken for the answer to the second.
 Test(store_connection, bytes_between_two_calls_answer_no_call)
 {
-    asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    std::vector<tcp::socket> accepted;
-    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
-    std::function<void()> accept = [&] {
-        acceptor.async_accept([&](const error_code& error, tcp::socket socket) {
-            if (error)
-                return;
-            accepted.push_back(std::move(socket));
-            asio::write(accepted.back(), asio::buffer(answer + "a"));
-            accept();
-        });
-    };
-    accept();
-    const auto connection = std::make_shared<store_connection>(
-        context, core::endpoint{"127.0.0.1", acceptor.local_endpoint().port()});
-    store_request request;
-    request.target = "/";
-    std::string bodies;
-    connection->call(request, [&](const store_result& first) {
-        bodies += std::get<store_answer>(first).body;
-        asio::write(accepted.back(), asio::buffer(answer + "b"));
-        connection->call(request, [&](const store_result& second) {
-            bodies += std::get<store_answer>(second).body;
-            context.stop();
-        });
-    });
-    context.run();
-    cr_assert_eq(bodies, "aa");
+    cr_assert_eq(call_twice(answer_head + "a", answer_head + "b"), "aa");
 }
