tests: garbage in streams with a length, byte by byte, and as the first thing

It plays streams with a length, each form byte by byte, an id that is no number, a line without a blank one behind it, and garbage before the first event of a stream too.

--- a/tests/forward/garbage_in_stream_test.cpp
+++ b/tests/forward/garbage_in_stream_test.cpp
@@ -31,6 +31,13 @@
     "Content-Type: text/event-stream\r\n\r\n";
 const std::string two_events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
 
+/// A stream with this body and its length.
+std::string format_with_length(const std::string& body)
+{
+    return core::concat(unframed_head.substr(0, unframed_head.size() - 2),
+                        "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
 /// Answers that begin with the events 1 and 2 and go on with garbage.
 std::vector<std::string> garbled_answers()
 {
@@ -40,17 +47,29 @@
     for (const std::string& garbage :
          {second_answer, std::string("no event\n\n"),
           std::string("\xff\xfe garbage \x01\r\n\r\n"),
-          std::string("data: other\n\n"),
+          std::string("data: other\n\n"), std::string("id: a\ndata: b\n\n"),
+          std::string("no event\n"),
           std::string("id: 3\nda") + second_answer}) {
         const std::string chunk = format_chunk(garbage);
         answers.push_back(
             core::concat(framed, chunk, format_event_chunk(3), last_chunk));
         answers.push_back(core::concat(framed, chunk, last_chunk));
         answers.push_back(core::concat(unframed_head, two_events, garbage));
+        answers.push_back(format_with_length(two_events + garbage));
     }
     return answers;
 }
 
+/// Answers one request with these bytes, each written by itself.
+scripted_server::script answers_byte_by_byte(const std::string& bytes)
+{
+    return [bytes](scripted_connection& connection) {
+        connection.read_request();
+        for (const char byte : bytes)
+            connection.write({byte});
+    };
+}
+
 /// A stream that the first server garbles and the second one resumes: what the
 /// caller receives, and the request that resumes it.
 struct resumed_stream
@@ -59,10 +78,10 @@
     std::string request;
 };
 
-resumed_stream resume(const std::string& garbled)
+resumed_stream resume(const scripted_server::script& garbles)
 {
     resumed_stream result;
-    const scripted_server first(answers_once(garbled));
+    const scripted_server first(garbles);
     const scripted_server second([&result](scripted_connection& connection) {
         result.request = connection.read_request();
         connection.write(format_stream_head("r1") + format_event_chunk(3) +
@@ -107,8 +126,13 @@
 // garbage ended events without an id.
 Test(garbage_in_stream, is_not_passed_on_and_the_stream_resumes_elsewhere)
 {
+    std::vector<scripted_server::script> scripts;
     for (const std::string& garbled : garbled_answers()) {
-        const resumed_stream stream = resume(garbled);
+        scripts.push_back(answers_once(garbled));
+        scripts.push_back(answers_byte_by_byte(garbled));
+    }
+    for (const scripted_server::script& garbles : scripts) {
+        const resumed_stream stream = resume(garbles);
         cr_assert_eq(unchunk(stream.answer),
                      two_events + "id: 3\ndata: x\n\nid: 4\ndata: x\n\n");
         cr_assert(stream.request.find("X-After: 2\r\n") != std::string::npos);
@@ -171,6 +195,16 @@
 // Garbage before the first event must not begin an answer.
 Test(garbage_in_stream, before_the_first_event_begins_no_answer)
 {
+    for (const std::string& garbage :
+         {second_answer, std::string("no event\n\n"),
+          std::string("data: other\n\n")}) {
+        const scripted_server whole(answers_once(format_with_length(garbage)));
+        forwarder_fixture fixture(tests::test_protocol());
+        raw_caller caller(fixture.port());
+        caller.send(tests::format_request("r1"));
+        fixture.send_stream_call(fixture.next<dispatch::arrival>(), whole, 1);
+        cr_assert_not(fixture.next<dispatch::call_broken>().has_answer_started);
+    }
     const scripted_server server(answers_once(format_stream_head("r1") +
                                               format_chunk(second_answer) +
                                               std::string(last_chunk)));
