tests/adapter: the store of the soak decodes request targets strictly

Cause: the stand-in compared the query's bytes as they came, so a name that has to be escaped read the same on both sides, and no test could tell. Change: request_target parses a target as RFC 3986 says (an illegal character or a broken escape is 400, + in a query is a blank).

--- a/tests/adapter/soak/store_server.cpp
+++ b/tests/adapter/soak/store_server.cpp
@@ -10,22 +10,15 @@
 
 namespace {
 
-constexpr std::size_t page_items = 4;
 constexpr milliseconds answer_time{4};
 constexpr milliseconds late_write_time{2500};
 /// Longer than any run.
 constexpr milliseconds silence{600000};
 constexpr unsigned http_1_1 = 11;
-const std::string objects_path = "/objects/";
-
-std::string parameter(const std::string& query, const std::string& name)
-{
-    const auto at = ("&" + query).find("&" + name + "=");
-    if (at == std::string::npos)
-        return {};
-    const auto begin = at + name.size() + 1;
-    return query.substr(begin, query.find('&', begin) - begin);
-}
+const std::string objects_segment = "objects";
+/// Segments of the paths /objects/KIND and /objects/KIND/NAME.
+constexpr std::size_t kind_segments = 3;
+constexpr std::size_t name_segments = 4;
 
 std::uint64_t number(const std::string& text)
 {
@@ -132,6 +125,17 @@
     return names;
 }
 
+void store_server::set_page_items(std::size_t count)
+{
+    page_items_ = count;
+}
+
+std::size_t store_server::list_calls(const std::string& kind) const
+{
+    const auto found = list_calls_.find(kind);
+    return found == list_calls_.end() ? 0 : found->second;
+}
+
 void store_server::wake()
 {
     for (asio::steady_timer* each : waiting_)
@@ -180,17 +184,17 @@
 store_server::answer(const request& asked)
 {
     co_await pause(answer_time);
-    const std::string target(asked.target());
-    const auto mark = target.find('?');
-    const std::string path = target.substr(0, mark);
-    const std::string query =
-        mark == std::string::npos ? "" : target.substr(mark + 1);
-    if (!path.starts_with(objects_path))
+    const auto target =
+        parse_request_target({asked.target().data(), asked.target().size()});
+    if (!target)
+        co_return make_answer(http::status::bad_request, {});
+    const auto& segments = target->segments;
+    if (segments.size() < kind_segments || segments.size() > name_segments ||
+        segments[1] != objects_segment)
         co_return make_answer(http::status::not_found, {});
-    const std::string rest = path.substr(objects_path.size());
-    const std::string kind = rest.substr(0, rest.find('/'));
+    const std::string& kind = segments[2];
     const std::string name =
-        rest.size() > kind.size() ? rest.substr(kind.size() + 1) : "";
+        segments.size() == name_segments ? segments[3] : std::string();
     const bool is_read = asked.method() == http::verb::get;
     if (fault_ == store_fault::resets)
         co_return std::nullopt;
@@ -208,7 +212,7 @@
         co_return std::nullopt;
     }
     if (is_read) {
-        response made = co_await read(kind, name, query);
+        response made = co_await read(kind, name, *target);
         if (fault_ == store_fault::silent)
             co_await pause(silence);
         co_return made;
@@ -218,7 +222,7 @@
 
 task<store_server::response> store_server::read(const std::string& kind,
                                                 const std::string& name,
-                                                const std::string& query)
+                                                const request_target& target)
 {
     if (!name.empty()) {
         const auto& objects = objects_[kind];
@@ -227,10 +231,12 @@
             ? make_answer(http::status::not_found, {})
             : make_answer(http::status::ok, found->second);
     }
-    const std::string from = parameter(query, "watchFromRev");
-    if (from.empty())
-        co_return list(kind, parameter(query, "after"));
-    const milliseconds wait(number(parameter(query, "waitMs")));
+    const std::string from = target.parameter("watchFromRev");
+    if (from.empty()) {
+        ++list_calls_[kind];
+        co_return list(kind, target.parameter("after"));
+    }
+    const milliseconds wait(number(target.parameter("waitMs")));
     response made = co_await watch(kind, number(from), wait);
     co_return made;
 }
@@ -246,7 +252,7 @@
         auto each =
             after.empty() ? objects.begin() : objects.upper_bound(after);
         for (; each != objects.end(); ++each) {
-            has_more = items.size() == page_items;
+            has_more = items.size() == page_items_;
             if (has_more)
                 break;
             items.push_back(each->second);
--- a/tests/adapter/soak/store_server.hpp
+++ b/tests/adapter/soak/store_server.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_TESTS_ADAPTER_SOAK_STORE_SERVER_HPP
 
 #include "tests/adapter/soak/coroutine.hpp"
+#include "tests/adapter/soak/request_target.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -54,6 +55,10 @@
     void restore();
     [[nodiscard]] std::vector<std::string>
     names_of(const std::string& kind) const;
+    /// Objects in a page of a list.
+    void set_page_items(std::size_t count);
+    /// Pages that were asked for.
+    [[nodiscard]] std::size_t list_calls(const std::string& kind) const;
 
 private:
     using json = nlohmann::json;
@@ -71,7 +76,7 @@
     /// Nothing when the connection is to end without an answer.
     task<std::optional<response>> answer(const request& asked);
     task<response> read(const std::string& kind, const std::string& name,
-                        const std::string& query);
+                        const request_target& target);
     [[nodiscard]] response list(const std::string& kind,
                                 const std::string& after) const;
     task<response> watch(const std::string& kind, std::uint64_t from,
@@ -96,6 +101,8 @@
     std::uint64_t epoch_ = 1;
     std::map<std::string, std::map<std::string, json>> copied_objects_;
     std::uint64_t copied_revision_ = 100;
+    std::size_t page_items_ = 4;
+    std::map<std::string, std::size_t> list_calls_;
 };
 
 } // namespace oriolefall::soak
