--- /dev/null
+++ b/tests/adapter/odd_entries_test.cpp
@@ -0,0 +1,123 @@
+// Entries of other writers whose names hold characters that mean something in a
+// request target. The store serves a page for each entry, and decodes targets
+// strictly.
+#include "tests/adapter/following_instance.hpp"
+#include "tests/adapter/running_store.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using tests::following_instance;
+using tests::running_store;
+
+namespace {
+
+const std::string servers = "servers";
+const std::string& instances = tests::instances_collection;
+constexpr std::size_t sound_entries = 7;
+
+std::string sound_name(std::size_t number)
+{
+    return "s" + std::to_string(number);
+}
+
+/// Writes the odd entry, and sound ones.
+void write_entries(running_store& store, const std::string& kind,
+                   const std::string& odd_name)
+{
+    store.with([&](soak::store_server& each) {
+        each.set_page_items(1);
+        each.put(kind, odd_name, {{"state", 7}});
+        for (std::size_t number = 1; number <= sound_entries; ++number)
+            each.put(kind, sound_name(number), {{"state", "ready"}});
+    });
+}
+
+bool has_entries(const follow::collection_view& view, std::size_t count)
+{
+    for (std::size_t number = 1; number <= count; ++number)
+        if (!view.objects.contains(sound_name(number)))
+            return false;
+    return true;
+}
+
+std::size_t list_calls(running_store& store, const std::string& kind)
+{
+    return store.with(
+        [&](soak::store_server& each) { return each.list_calls(kind); });
+}
+
+/// All sound entries are known after one list, and later ones by the watch.
+void expect_followed(const std::string& odd_name)
+{
+    running_store store;
+    write_entries(store, servers, odd_name);
+    following_instance instance(store.endpoint(), servers);
+    cr_assert(instance.wait_for([](const follow::collection_view& view) {
+        return has_entries(view, sound_entries);
+    }),
+              "%s", odd_name.c_str());
+    store.with([](soak::store_server& each) {
+        each.put(servers, sound_name(sound_entries + 1), {});
+    });
+    cr_assert(instance.wait_for([](const follow::collection_view& view) {
+        return has_entries(view, sound_entries + 1);
+    }),
+              "%s", odd_name.c_str());
+    cr_assert_eq(list_calls(store, servers), sound_entries + 1, "%s",
+                 odd_name.c_str());
+}
+
+} // namespace
+
+// RECOVER: `after` was sent as it is, so the store read another name or none.
+// With `&` or `+` the same page came again and again, without a pause.
+Test(odd_entry, delimiters_of_a_query_hide_no_other_entry)
+{
+    for (const char* name : {"a&b", "a+b", "a#b", "a=b", "a;b", "a?b", "+&"})
+        expect_followed(name);
+}
+
+// With `%7E` the list went on behind all others, and ended without a word.
+Test(odd_entry, escapes_hide_no_other_entry)
+{
+    for (const char* name : {"%7E", "%", "100%", "%zz", "a%00b", "%25"})
+        expect_followed(name);
+}
+
+Test(odd_entry, blanks_and_control_characters_hide_no_other_entry)
+{
+    for (const std::string& name :
+         {std::string(" "), std::string("a b"), std::string("a\r\nb: c"),
+          std::string("a\0b", 3), std::string("\x01\x7f")})
+        expect_followed(name);
+}
+
+Test(odd_entry, any_other_name_hides_no_other_entry)
+{
+    for (const std::string& name :
+         {std::string("a/b"), std::string(".."), std::string("\"\\"),
+          std::string("\u00e9\u2603"), std::string(6000, 'a')})
+        expect_followed(name);
+}
+
+// The list of instances goes on from names in the same way.
+Test(odd_entry, an_instance_registers_beside_an_odd_entry)
+{
+    for (const char* name : {"a&b", "a#b", "%7E"}) {
+        running_store store;
+        write_entries(store, instances, name);
+        following_instance instance(store.endpoint(), servers);
+        std::set<std::string> expected{name, "edge-1"};
+        for (std::size_t number = 1; number <= sound_entries; ++number)
+            expected.insert(sound_name(number));
+        cr_assert(instance.wait_for_instances(expected), "%s", name);
+        // One list before the registration, one after it.
+        cr_assert_leq(list_calls(store, instances), 2 * sound_entries + 3, "%s",
+                      name);
+    }
+}
--- a/tests/adapter/soak/world.cpp
+++ b/tests/adapter/soak/world.cpp
@@ -1,6 +1,7 @@
 #include "tests/adapter/soak/world.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace oriolefall::soak {
@@ -22,6 +23,19 @@
 /// Versions increase in uneven steps.
 constexpr std::uint64_t version_step = 3;
 
+/// Collections in which another writer has entries too.
+constexpr std::array<const char*, 3> shared_collections{"servers", "config",
+                                                        "oriolefall-instances"};
+/// Names of its entries. They stand before all others, and mean something in a
+/// request target; pages of a list end at one of them.
+constexpr std::array<const char*, 7> odd_names{
+    " odd", "#odd", "%7E", "&odd=1", "+odd", "/odd", "0\r\nodd: 1"};
+
+bool is_odd(const std::string& name)
+{
+    return std::ranges::find(odd_names, name) != odd_names.end();
+}
+
 json route(const std::string& name, const std::string& path,
            const std::string& type, const std::string& service, bool resumable)
 {
@@ -59,11 +73,19 @@
 
 void world::start()
 {
+    write_odd_entries();
     write_settings();
     for (place& each : places_)
         start_server(each);
 }
 
+void world::write_odd_entries()
+{
+    for (const char* collection : shared_collections)
+        for (const char* name : odd_names)
+            store_.put(collection, name, {{"state", 7}});
+}
+
 store_server& world::store()
 {
     return store_;
@@ -205,7 +227,8 @@
 void world::erase_lapsed()
 {
     for (const std::string& name : store_.names_of("servers"))
-        if (std::ranges::none_of(places_, [&name](const place& each) {
+        if (!is_odd(name) &&
+            std::ranges::none_of(places_, [&name](const place& each) {
                 return each.server->settings().id == name;
             }))
             store_.erase("servers", name);
--- a/tests/adapter/soak/world.hpp
+++ b/tests/adapter/soak/world.hpp
@@ -57,6 +57,7 @@
         bool is_changing = false;
     };
 
+    void write_odd_entries();
     void write_settings();
     void put_settings();
     void start_server(place& at);
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -171,3 +171,18 @@
     cr_assert(*read == member);
     cr_assert_not(parse_member({"edge-1", 1, "{}"}).has_value());
 }
+
+// A name is data: what it holds must not end the parameter or begin another.
+Test(store, a_name_is_escaped_in_a_query)
+{
+    const auto protocol = make_store_protocol();
+    const auto target = [&protocol](const std::string& after) {
+        return protocol.target(follow::list_call{"servers", after, true});
+    };
+    cr_assert_eq(target("a&b+c#d e%7E"),
+                 "/objects/servers?after=a%26b%2Bc%23d%20e%257E&staleOk=1");
+    cr_assert_eq(target("\r\n\x01\xc3\xa9"),
+                 "/objects/servers?after=%0D%0A%01%C3%A9&staleOk=1");
+    cr_assert_eq(target("edge-1_a.b~c"),
+                 "/objects/servers?after=edge-1_a.b~c&staleOk=1");
+}
