follow, singleton: a list that makes no progress is a failure with a pause

With & or + in a name the same page came again and again, and each instance asked for it without a pause: by the platform's figures 212,000 calls in 10 s, far beyond the store's rates, which serves the others the worse for it. Cause: three places page through a list (followed collections, instances, objects of the duties). Each went on from the last name of a page, whatever the page brought; a history that was always gone (410) had the collection listed anew at once. Change: paged_list is the one place that pages. A page with more to follow that brings no new object stalls the list: the follower is unreachable, with the cause in its log line store_lost, the list of instances is retried after its delay, the task of a duty has failed. Lists of a collection start 500 ms apart at least. Why it works: each page that is followed by another adds a name, so a list has at most as many calls as the store has names; what begins it anew is paced.

--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -24,7 +24,7 @@
 std::pair<read_call, absl::Time> collection_follower::next_call() const
 {
     if (is_listing_)
-        return {list_call{settings_.collection, list_cursor_,
+        return {list_call{settings_.collection, list_.cursor(),
                           settings_.may_start_stale && !is_synced_},
                 next_call_at_};
     const watch_call watch{settings_.collection, watch_revision_,
@@ -43,6 +43,8 @@
 void collection_follower::on_call_started(absl::Time now)
 {
     call_started_at_ = now;
+    if (is_listing_ && list_.cursor().empty())
+        list_started_at_ = now;
     call_epoch_ = view_.epoch;
 }
 
@@ -51,8 +53,8 @@
 {
     const std::uint64_t epoch = named_epoch.value_or(view_.epoch);
     call_started_at_ = absl::InfiniteFuture();
-    if (std::holds_alternative<call_failed>(result)) {
-        on_failure(now);
+    if (const auto* failed = std::get_if<call_failed>(&result)) {
+        on_failure(now, failed->cause);
         return false;
     }
     record_answer(now);
@@ -115,6 +117,11 @@
     return is_unreachable_;
 }
 
+const std::string& collection_follower::failure_cause() const
+{
+    return failure_cause_;
+}
+
 absl::Time collection_follower::confirmed_at() const
 {
     return confirmed_at_;
@@ -130,6 +137,7 @@
     if (is_unreachable_)
         reachable_since_ = now;
     is_unreachable_ = false;
+    failure_cause_.clear();
     failure_count_ = 0;
     next_call_at_ = absl::InfinitePast();
 }
@@ -137,8 +145,11 @@
 void collection_follower::restart_list()
 {
     is_listing_ = true;
-    list_cursor_.clear();
-    listed_.clear();
+    list_.restart();
+    // A store whose lists and watches contradict each other would be listed
+    // without end.
+    next_call_at_ =
+        std::max(next_call_at_, list_started_at_ + settings_.relist_delay);
 }
 
 bool collection_follower::on_page(absl::Time now, const list_page& page,
@@ -147,20 +158,22 @@
     if (!is_listing_)
         return false;
     // Pages may have different revisions; the watch starts from the first one.
-    if (list_cursor_.empty()) {
+    if (list_.cursor().empty()) {
         list_revision_ = page.revision;
         list_epoch_ = epoch;
     } else if (epoch != list_epoch_) {
         restart_list();
         return false;
     }
-    for (const stored_object& object : page.objects)
-        listed_.insert_or_assign(object.name, object);
-    if (page.has_more && !page.objects.empty()) {
-        list_cursor_ = page.objects.back().name;
-        return apply_initial_page(page);
+    const list_progress progress = list_.add(page);
+    if (progress == list_progress::stalled) {
+        on_failure(now, stalled_list_cause);
+        restart_list();
+        return false;
     }
-    if (listed_.empty() && settings_.may_start_stale && !is_synced_) {
+    if (progress == list_progress::more)
+        return apply_initial_page(page);
+    if (list_.objects().empty() && settings_.may_start_stale && !is_synced_) {
         next_call_at_ = now + settings_.relist_delay;
         return false;
     }
@@ -183,16 +196,15 @@
         begin_epoch(now);
     std::vector<std::string> removed;
     for (const auto& [name, object] : view_.objects)
-        if (!listed_.contains(name))
+        if (!list_.objects().contains(name))
             removed.push_back(name);
     for (const std::string& name : removed) {
         deletions_.record({{name, list_revision_, {}}, true}, list_revision_);
         remove(now, name);
     }
-    for (const auto& [name, object] : listed_)
+    for (const auto& [name, object] : list_.objects())
         put(object);
-    listed_.clear();
-    list_cursor_.clear();
+    list_.restart();
     is_listing_ = false;
     watch_revision_ = std::max(watch_revision_, list_revision_);
     const bool is_first = !std::exchange(is_synced_, true);
@@ -207,9 +219,9 @@
 {
     // Of several restores the changes lost by the first may still be missing.
     view_.lost_changes.merge(
-        find_lost_changes(view_.objects, deletions_.since(0), listed_));
+        find_lost_changes(view_.objects, deletions_.since(0), list_.objects()));
     for (auto& [name, object] : view_.objects)
-        if (!listed_.contains(name))
+        if (!list_.objects().contains(name))
             view_.stale.insert_or_assign(name, std::move(object));
     view_.objects.clear();
     view_.epoch = list_epoch_;
@@ -258,9 +270,10 @@
     return has_changed;
 }
 
-void collection_follower::on_failure(absl::Time now)
+void collection_follower::on_failure(absl::Time now, const std::string& cause)
 {
     is_unreachable_ = true;
+    failure_cause_ = cause;
     next_call_at_ = now + next_backoff(now);
     ++failure_count_;
 }
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_FOLLOW_COLLECTION_FOLLOWER_HPP
 
 #include "oriolefall/follow/deletion_log.hpp"
+#include "oriolefall/follow/paged_list.hpp"
 #include "oriolefall/follow/relay_role.hpp"
 #include "oriolefall/follow/view_message.hpp"
 
@@ -45,7 +46,8 @@
     /// peers confirm the view: the store turns away this instance only.
     absl::Duration relayed_backoff = absl::Seconds(2);
     /// Delay before the collection is listed again when it was empty at the
-    /// start, or as it was before the store was restored.
+    /// start, or as it was before the store was restored. Also the least time
+    /// between the starts of two lists.
     absl::Duration relist_delay = absl::Milliseconds(500);
     absl::Duration initial_backoff = absl::Milliseconds(100);
     absl::Duration max_backoff = absl::Milliseconds(800);
@@ -119,8 +121,10 @@
     /// Whether the collection has been listed completely at least once.
     [[nodiscard]] bool is_synced() const;
     [[nodiscard]] const collection_view& view() const;
-    /// Whether the last call failed.
+    /// Whether the last call failed, or brought its list no further.
     [[nodiscard]] bool is_unreachable() const;
+    /// Why it did, for the log; empty if it did not.
+    [[nodiscard]] const std::string& failure_cause() const;
     /// The latest time at which the view was known to be the store's newest.
     [[nodiscard]] absl::Time confirmed_at() const;
     /// Up to where the collection is known.
@@ -129,7 +133,7 @@
 private:
     bool on_page(absl::Time now, const list_page& page, std::uint64_t epoch);
     bool on_changes(absl::Time now, const change_list& changes);
-    void on_failure(absl::Time now);
+    void on_failure(absl::Time now, const std::string& cause);
     void record_answer(absl::Time now);
     void restart_list();
     /// Adds a page of the initial list to the view as soon as it arrives: a few
@@ -149,9 +153,8 @@
 
     follower_settings settings_;
     collection_view view_;
-    /// Objects of the list in progress.
-    std::map<std::string, stored_object> listed_;
-    std::string list_cursor_;
+    /// The list in progress.
+    paged_list list_;
     std::uint64_t list_revision_ = 0;
     std::uint64_t list_epoch_ = 0;
     std::uint64_t watch_revision_ = 0;
@@ -164,12 +167,15 @@
     bool is_listing_ = true;
     bool is_synced_ = false;
     bool is_unreachable_ = false;
+    std::string failure_cause_;
     std::uint32_t failure_count_ = 0;
     absl::Time next_call_at_ = absl::InfinitePast();
     absl::Time reachable_since_ = absl::InfinitePast();
     absl::Time confirmed_at_ = absl::InfinitePast();
     /// When the pending call was sent.
     absl::Time call_started_at_ = absl::InfiniteFuture();
+    /// When the first page of the last list was asked for.
+    absl::Time list_started_at_ = absl::InfinitePast();
     /// End of the first list.
     absl::Time synced_at_ = absl::InfinitePast();
 };
--- a/oriolefall/follow/collection_follower_relay.cpp
+++ b/oriolefall/follow/collection_follower_relay.cpp
@@ -85,9 +85,11 @@
 bool collection_follower::apply_snapshot(absl::Time now,
                                          const collection_update& update)
 {
-    listed_.clear();
-    for (const object_change& change : update.changes)
-        listed_.insert_or_assign(change.object.name, change.object);
+    list_page snapshot;
+    std::ranges::transform(update.changes, std::back_inserter(snapshot.objects),
+                           &object_change::object);
+    list_.restart();
+    static_cast<void>(list_.add(snapshot));
     list_revision_ = update.revision;
     list_epoch_ = update.epoch;
     return finish_list(now);
--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -1,6 +1,8 @@
 #include "oriolefall/follow/own_registration.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace oriolefall::follow {
@@ -37,7 +39,7 @@
 
 void own_registration::start_list()
 {
-    const list_call call{own_.collection, list_cursor_, true};
+    const list_call call{own_.collection, list_.cursor(), true};
     const store_request request{
         http::verb::get, protocol_.target(call), {}, settings_.answer_timeout};
     list_connection_->call(request, [this, call](const store_result& result) {
@@ -51,33 +53,42 @@
     const auto [read_result, epoch] = read_answer(protocol_, call, result);
     const auto* page = std::get_if<list_page>(&read_result);
     if (page == nullptr || epoch.value_or(epoch_) < epoch_) {
-        list_cursor_.clear();
-        listed_objects_.clear();
-        schedule_list(settings_.retry_delay);
+        restart_list();
         return;
     }
-    listed_objects_.insert(listed_objects_.end(), page->objects.begin(),
-                           page->objects.end());
-    if (page->has_more && !page->objects.empty()) {
-        list_cursor_ = page->objects.back().name;
+    switch (list_.add(*page)) {
+    case list_progress::more:
         start_list();
-        return;
+        break;
+    case list_progress::complete:
+        finish_list();
+        break;
+    case list_progress::stalled:
+        restart_list();
+        break;
     }
-    finish_list();
+}
+
+void own_registration::restart_list()
+{
+    list_.restart();
+    schedule_list(settings_.retry_delay);
 }
 
 void own_registration::finish_list()
 {
     ++list_count_;
-    on_listed_(listed_objects_);
+    std::vector<stored_object> listed;
+    std::ranges::copy(list_.objects() | std::views::values,
+                      std::back_inserter(listed));
+    on_listed_(listed);
     // The object of the previous start of this instance is as good as a new
     // one. Another instance may have removed it, believing this one dead.
-    const bool is_registered = std::ranges::any_of(
-        listed_objects_, [this](const stored_object& object) {
+    const bool is_registered =
+        std::ranges::any_of(listed, [this](const stored_object& object) {
             return object.name == own_.name && object.value == own_.value;
         });
-    list_cursor_.clear();
-    listed_objects_.clear();
+    list_.restart();
     const bool may_predate_write =
         is_written_ &&
         list_count_ - list_count_at_write_ <= max_lists_before_write_shows;
--- a/oriolefall/follow/own_registration.hpp
+++ b/oriolefall/follow/own_registration.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_FOLLOW_OWN_REGISTRATION_HPP
 
 #include "oriolefall/core/backend_server.hpp"
+#include "oriolefall/follow/paged_list.hpp"
 #include "oriolefall/follow/store_protocol.hpp"
 
 #include <chrono>
@@ -63,6 +64,8 @@
 private:
     void start_list();
     void on_list_page(const list_call& call, const store_result& result);
+    /// Lists from the first page on, after a pause.
+    void restart_list();
     void finish_list();
     void schedule_list(std::chrono::milliseconds delay);
     [[nodiscard]] std::chrono::milliseconds next_list_delay() const;
@@ -78,8 +81,7 @@
     own_object own_;
     std::shared_ptr<store_connection> list_connection_;
     asio::steady_timer list_timer_;
-    std::string list_cursor_;
-    std::vector<stored_object> listed_objects_;
+    paged_list list_;
     /// Number of complete lists.
     std::uint32_t list_count_ = 0;
     /// Number of complete lists when the own object was last written.
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -148,7 +148,7 @@
         followed_collection& collection = *followed_collections_[i];
         const bool has_changed =
             std::ranges::find(changed, collection.name) != changed.end();
-        report_changes(collection, before[i], {}, has_changed);
+        report_changes(collection, before[i], has_changed);
     }
 }
 
@@ -252,18 +252,16 @@
     const known_state before(collection.follower);
     const bool has_changed =
         collection.follower.on_result(now, read_result, epoch);
-    const auto* failure = std::get_if<call_failed>(&read_result);
-    report_changes(collection, before, failure != nullptr ? failure->cause : "",
-                   has_changed);
+    report_changes(collection, before, has_changed);
 }
 
 void store_duty::report_changes(followed_collection& collection,
-                                const known_state& before,
-                                const std::string& cause, bool has_changed)
+                                const known_state& before, bool has_changed)
 {
     const bool is_unreachable = collection.follower.is_unreachable();
     if (is_unreachable != before.is_unreachable)
-        hooks_.on_unreachable_changed(collection.name, is_unreachable, cause);
+        hooks_.on_unreachable_changed(collection.name, is_unreachable,
+                                      collection.follower.failure_cause());
     const collection_view& view = collection.follower.view();
     if (before.is_synced && view.epoch != before.epoch) {
         hooks_.on_restored(collection.name, view.epoch,
--- a/oriolefall/follow/store_duty.hpp
+++ b/oriolefall/follow/store_duty.hpp
@@ -129,8 +129,7 @@
     [[nodiscard]] view_relay::named_followers named_followers() const;
     /// Tells the hooks what has changed, and goes on with the calls.
     void report_changes(followed_collection& collection,
-                        const known_state& before, const std::string& cause,
-                        bool has_changed);
+                        const known_state& before, bool has_changed);
     void start_next_call(followed_collection& collection);
     void send_call(followed_collection& collection, const read_call& call);
     void on_result(followed_collection& collection, const read_call& call,
--- a/oriolefall/singleton/task_runner.cpp
+++ b/oriolefall/singleton/task_runner.cpp
@@ -32,8 +32,9 @@
 void task_runner::start(const duties::read_objects& task)
 {
     collection_ = task.collection;
-    read_.reset();
-    read_page("");
+    list_.restart();
+    list_epoch_.reset();
+    read_page();
 }
 
 void task_runner::start(const duties::write_object& task)
@@ -63,9 +64,9 @@
         may_send_);
 }
 
-void task_runner::read_page(const std::string& after)
+void task_runner::read_page()
 {
-    follow::store_request request = protocol_.list(collection_, after);
+    follow::store_request request = protocol_.list(collection_, list_.cursor());
     request.timeout = answer_timeout_;
     connections_.store->call(
         request,
@@ -79,43 +80,48 @@
         end(duties::task_failed{std::get<follow::store_failure>(result).cause});
         return;
     }
-    bool has_more = false;
-    std::optional<std::string> fault = "unreadable answer";
+    page_result added = duties::task_failed{"unreadable answer"};
     const auto on_error = [](std::string_view, std::string_view) {};
-    static_cast<void>(net::run_guarded(
-        on_error, "list", [&] { fault = add_page(*answer, has_more); }));
-    if (fault)
-        end(duties::task_failed{*fault});
-    else if (has_more)
-        read_page(read_->objects.back().name);
+    static_cast<void>(
+        net::run_guarded(on_error, "list", [&] { added = add_page(*answer); }));
+    if (const auto* failed = std::get_if<duties::task_failed>(&added))
+        end(*failed);
+    else if (std::get<follow::list_progress>(added) ==
+             follow::list_progress::more)
+        read_page();
     else
-        end(*read_);
+        end(listed_objects());
 }
 
-std::optional<std::string>
-task_runner::add_page(const follow::store_answer& answer, bool& has_more)
+task_runner::page_result
+task_runner::add_page(const follow::store_answer& answer)
 {
     const auto epoch = protocol_.epoch(answer);
     if (!epoch)
-        return "answer without epoch";
+        return duties::task_failed{"answer without epoch"};
     const follow::call_result parsed = protocol_.parse_list(answer);
     if (const auto* failed = std::get_if<follow::call_failed>(&parsed))
-        return failed->cause;
+        return duties::task_failed{failed->cause};
     const auto* page = std::get_if<follow::list_page>(&parsed);
     if (page == nullptr)
-        return "no list";
-    if (!read_)
-        read_ = duties::objects_read{{}, *epoch};
-    if (read_->epoch != *epoch)
-        return "the store was restored between two pages";
-    has_more = page->has_more;
-    if (has_more && page->objects.empty())
-        return "list that names nothing to go on from";
-    if (read_->objects.size() + page->objects.size() > max_objects_)
-        return "too many objects";
-    for (const follow::stored_object& each : page->objects)
-        read_->objects.push_back({each.name, each.value, each.revision});
-    return std::nullopt;
+        return duties::task_failed{"no list"};
+    if (list_epoch_.value_or(*epoch) != *epoch)
+        return duties::task_failed{"the store was restored between two pages"};
+    list_epoch_ = epoch;
+    if (list_.objects().size() + page->objects.size() > max_objects_)
+        return duties::task_failed{"too many objects"};
+    const follow::list_progress progress = list_.add(*page);
+    if (progress == follow::list_progress::stalled)
+        return duties::task_failed{follow::stalled_list_cause};
+    return progress;
+}
+
+duties::objects_read task_runner::listed_objects() const
+{
+    duties::objects_read read{{}, list_epoch_.value_or(0)};
+    for (const auto& [name, object] : list_.objects())
+        read.objects.push_back({name, object.value, object.revision});
+    return read;
 }
 
 void task_runner::finish(
--- a/oriolefall/singleton/task_runner.hpp
+++ b/oriolefall/singleton/task_runner.hpp
@@ -2,6 +2,7 @@
 #define ORIOLEFALL_SINGLETON_TASK_RUNNER_HPP
 
 #include "oriolefall/duties/planner.hpp"
+#include "oriolefall/follow/paged_list.hpp"
 #include "oriolefall/follow/store_connection.hpp"
 #include "oriolefall/singleton/duty_protocol.hpp"
 #include "oriolefall/singleton/singleton_settings.hpp"
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace oriolefall::singleton {
 
@@ -41,11 +43,14 @@
     void start(const duties::read_objects& task);
     void start(const duties::write_object& task);
     void start(const duties::provider_call& task);
-    void read_page(const std::string& after);
+    /// `more`, `complete`, or why the page can't be used.
+    using page_result =
+        std::variant<follow::list_progress, duties::task_failed>;
+
+    void read_page();
     void on_page(const follow::store_result& result);
-    /// Adds a page to `read_`; returns why it can't be used, if so.
-    [[nodiscard]] std::optional<std::string>
-    add_page(const follow::store_answer& answer, bool& has_more);
+    [[nodiscard]] page_result add_page(const follow::store_answer& answer);
+    [[nodiscard]] duties::objects_read listed_objects() const;
     void finish(
         const follow::store_result& result,
         const std::function<duties::task_result(const follow::store_answer&)>&
@@ -60,9 +65,11 @@
     std::uint64_t fencing_number_ = 0;
     follow::store_connection::send_check may_send_;
     result_hook on_result_;
-    /// The collection that is being read, and what was read so far.
+    /// The collection that is being read, and its pages so far.
     std::string collection_;
-    std::optional<duties::objects_read> read_;
+    follow::paged_list list_;
+    /// Epoch of the store in the first page.
+    std::optional<std::uint64_t> list_epoch_;
 };
 
 } // namespace oriolefall::singleton
--- /dev/null
+++ b/tests/follow/list_progress_test.cpp
@@ -0,0 +1,141 @@
+// Lists and watches of a store whose answers bring nothing new.
+#include "oriolefall/follow/collection_follower.hpp"
+#include "oriolefall/follow/own_registration.hpp"
+#include "tests/forward/scripted_server.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <variant>
+
+#include <criterion/criterion.h>
+
+using namespace oriolefall;
+using namespace oriolefall::follow;
+using tests::scripted_connection;
+using tests::scripted_server;
+
+namespace {
+
+const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+constexpr absl::Duration played_time = absl::Seconds(10);
+constexpr absl::Duration answer_time = absl::Milliseconds(2);
+
+using answer_hook = std::function<call_result(const read_call&)>;
+
+/// Calls that the follower makes in the played time, each answered at once.
+int count_calls(collection_follower& follower, const answer_hook& answer)
+{
+    int calls = 0;
+    absl::Time now = start;
+    while (true) {
+        const auto [call, call_at] = follower.next_call();
+        now = std::max(now, call_at);
+        if (now >= start + played_time)
+            return calls;
+        ++calls;
+        follower.on_call_started(now);
+        now += answer_time;
+        follower.on_result(now, answer(call));
+    }
+}
+
+/// The most calls that bring nothing, one for each delay.
+int most_calls(absl::Duration delay)
+{
+    return static_cast<int>(played_time / delay) + 1;
+}
+
+const list_page first_page{{{"a", 1, "{}"}, {"b", 2, "{}"}}, true, 10};
+const list_page whole_page{{{"a", 1, "{}"}}, false, 10};
+
+bool is_list(const read_call& call)
+{
+    return std::holds_alternative<list_call>(call);
+}
+
+} // namespace
+
+// The same page again and again was asked for without a pause: 212,000 calls in
+// 10 s.
+Test(list_progress, a_page_that_comes_again_is_a_failure_with_a_pause)
+{
+    const follower_settings settings{.collection = "servers"};
+    collection_follower follower(settings);
+    const int calls =
+        count_calls(follower, [](const read_call&) { return first_page; });
+    cr_assert_leq(calls, 2 * most_calls(settings.relist_delay));
+    cr_assert(follower.is_unreachable());
+    cr_assert_eq(follower.failure_cause(), stalled_list_cause);
+    cr_assert_not(follower.is_synced());
+    // What it holds is used meanwhile.
+    cr_assert_eq(follower.view().objects.size(), 2);
+}
+
+Test(list_progress, pages_in_a_circle_are_a_failure_too)
+{
+    const follower_settings settings{.collection = "servers"};
+    collection_follower follower(settings);
+    const list_page other_page{{{"c", 3, "{}"}}, true, 10};
+    int pages = 0;
+    const int calls = count_calls(follower, [&](const read_call&) {
+        return ++pages % 2 == 1 ? first_page : other_page;
+    });
+    cr_assert_leq(calls, 3 * most_calls(settings.relist_delay));
+}
+
+Test(list_progress, a_list_that_stalled_begins_anew_and_ends)
+{
+    collection_follower follower({.collection = "servers"});
+    follower.on_result(start, first_page);
+    follower.on_result(start, first_page);
+    cr_assert(follower.is_unreachable());
+    const auto next = follower.next_call().first;
+    cr_assert(std::get<list_call>(next).after.empty());
+    follower.on_result(start, whole_page);
+    cr_assert(follower.is_synced());
+    cr_assert_not(follower.is_unreachable());
+    cr_assert(follower.failure_cause().empty());
+    cr_assert_not(follower.view().objects.contains("b"));
+}
+
+// Each list was followed by a watch that said 410, without a pause.
+Test(list_progress, a_history_that_is_always_gone_is_listed_with_pauses)
+{
+    const follower_settings settings{.collection = "servers"};
+    collection_follower follower(settings);
+    const int calls =
+        count_calls(follower, [](const read_call& call) -> call_result {
+            if (is_list(call))
+                return whole_page;
+            return history_gone{};
+        });
+    cr_assert_leq(calls, 2 * most_calls(settings.relist_delay));
+}
+
+// The list of instances went round some 200,000 times in 10 s.
+Test(list_progress, the_list_of_instances_that_goes_round_has_pauses)
+{
+    std::atomic<int> calls = 0;
+    scripted_server server([&calls](scripted_connection& connection) {
+        while (!connection.read_request().empty()) {
+            ++calls;
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        }
+    });
+    store_protocol protocol;
+    protocol.target = [](const read_call&) { return "/list"; };
+    protocol.parse = [](const read_call&, const store_answer&) {
+        return first_page;
+    };
+    protocol.epoch = [](const store_answer&) { return std::nullopt; };
+    asio::io_context context{1};
+    const registration_settings settings;
+    own_registration registration(
+        context, server.endpoint(), settings, protocol,
+        [](const std::vector<stored_object>&) { cr_assert(false); });
+    registration.start({"instances", "edge-1", "{}"});
+    constexpr int rounds = 3;
+    context.run_for(rounds * settings.retry_delay);
+    cr_assert_leq(calls, 2 * (rounds + 1));
+}
