follow: watches that bring nothing at once have pauses

A store that answers watches before their time without a change was called as fast as it answered. Cause: only a watch with changes was followed by a delay. Evidence: list_progress/watches_that_bring_nothing_at_once_have_pauses failed on the code before. Change: watches without changes start a batch delay (250 ms) apart at least. One that waited for its time, or was cut off later than that, is repeated at once as before (a_watch_that_waited_is_repeated_at_once).

--- a/oriolefall/follow/collection_follower.cpp
+++ b/oriolefall/follow/collection_follower.cpp
@@ -43,6 +43,7 @@
 void collection_follower::on_call_started(absl::Time now)
 {
     call_started_at_ = now;
+    last_call_at_ = now;
     if (is_listing_ && list_.cursor().empty())
         list_started_at_ = now;
     call_epoch_ = view_.epoch;
@@ -237,7 +238,9 @@
     confirmed_at_ = now;
     const bool has_changed = apply(now, changes.changes, changes.revision);
     watch_revision_ = std::max(watch_revision_, changes.revision);
-    if (!changes.changes.empty())
+    if (changes.changes.empty())
+        next_call_at_ = last_call_at_ + settings_.batch_delay;
+    else
         next_call_at_ =
             now + (role_ == relay_role::watcher ? settings_.watcher_batch_delay
                                                 : settings_.batch_delay);
--- a/oriolefall/follow/collection_follower.hpp
+++ b/oriolefall/follow/collection_follower.hpp
@@ -29,7 +29,8 @@
     /// its recovery is detected soon.
     absl::Duration recovery_watch_timeout = absl::Milliseconds(500);
     /// Delay before the next watch after changes were received, so that
-    /// changes in quick succession are fetched together.
+    /// changes in quick succession are fetched together. Also the least time
+    /// between two watches that bring none.
     absl::Duration batch_delay = absl::Milliseconds(250);
     /// Whether the first list may be a few seconds old, which costs the store
     /// less. What it lacks comes by the first watch or from a peer.
@@ -174,6 +175,8 @@
     absl::Time confirmed_at_ = absl::InfinitePast();
     /// When the pending call was sent.
     absl::Time call_started_at_ = absl::InfiniteFuture();
+    /// When the last call was sent, pending or not.
+    absl::Time last_call_at_ = absl::InfinitePast();
     /// When the first page of the last list was asked for.
     absl::Time list_started_at_ = absl::InfinitePast();
     /// End of the first list.
--- a/tests/follow/list_progress_test.cpp
+++ b/tests/follow/list_progress_test.cpp
@@ -113,6 +113,31 @@
     cr_assert_leq(calls, 2 * most_calls(settings.relist_delay));
 }
 
+// Watches were repeated as fast as the store answered them.
+Test(list_progress, watches_that_bring_nothing_at_once_have_pauses)
+{
+    const follower_settings settings{.collection = "servers"};
+    collection_follower follower(settings);
+    const int calls =
+        count_calls(follower, [](const read_call& call) -> call_result {
+            if (is_list(call))
+                return whole_page;
+            return change_list{{}, 10};
+        });
+    cr_assert_leq(calls, 1 + most_calls(settings.batch_delay));
+}
+
+// A watch that waited for its time is followed by the next one at once.
+Test(list_progress, a_watch_that_waited_is_repeated_at_once)
+{
+    collection_follower follower({.collection = "servers"});
+    follower.on_result(start, whole_page);
+    follower.on_call_started(start);
+    const absl::Time end = start + absl::Seconds(2);
+    follower.on_result(end, change_list{{}, 10});
+    cr_assert_leq(follower.next_call().second, end);
+}
+
 // The list of instances went round some 200,000 times in 10 s.
 Test(list_progress, the_list_of_instances_that_goes_round_has_pauses)
 {
