platform: a name is one segment of an object's path

An instance that removes what a dead one has left could remove the entry of a live one, so that those that start don't find it. Cause: object_path put the name of an entry into DELETE, PUT and the check of the path as it is. edge-9?x=1 named edge-9, %65dge-9 did too.

--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -172,6 +172,17 @@
     cr_assert_not(parse_member({"edge-1", 1, "{}"}).has_value());
 }
 
+Test(store, a_name_is_one_segment_of_a_path)
+{
+    const auto protocol = make_store_protocol();
+    const std::string name = "a/b?c#d e%7E";
+    const std::string path = "/objects/instances/a%2Fb%3Fc%23d%20e%257E";
+    cr_assert_eq(protocol.remove("instances", name).target, path);
+    cr_assert_eq(protocol.check_path("instances", name).target,
+                 path + "?staleOk=1");
+    cr_assert_eq(protocol.put("instances", name, "{}").at(1).target, path);
+}
+
 // A name is data: what it holds must not end the parameter or begin another.
 Test(store, a_name_is_escaped_in_a_query)
 {
