platform: unreadable metadata hide neither name nor revision

A page that holds nothing but an entry whose finalizers can't be read could not be gone on from: its list failed for good. Cause: the metadata were parsed as one value, so one member that is no JSON took the name with it. Evidence: store/metadata_of_another_writer_hide_no_name failed on the code before, with half a surrogate pair, a number out of range, a byte that is no UTF-8 and a word that is none.

--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -172,6 +172,26 @@
     cr_assert_not(parse_member({"edge-1", 1, "{}"}).has_value());
 }
 
+// One member of the metadata that can't be read took the name with it: a page
+// of such an entry named nothing to go on from, so the list never ended.
+Test(store, metadata_of_another_writer_hide_no_name)
+{
+    for (const char* finalizers :
+         {R"(["\ud800"])", "[1e400]", "[\"\xff\"]", "[nul]"}) {
+        const auto read = make_store_protocol().parse(
+            follow::list_call{"servers", "", false},
+            {200, R"({"items":[{"metadata":{"finalizers":)" +
+                      std::string(finalizers) +
+                      R"(,"name":"a","revision":5},"spec":1}],)"
+                      R"("hasMore":true,"at":9})"});
+        const auto page = std::get<follow::list_page>(read);
+        cr_assert_eq(page.objects.size(), 1, "%s", finalizers);
+        cr_assert_eq(page.objects[0].name, "a");
+        cr_assert_eq(page.objects[0].revision, 5);
+        cr_assert_eq(page.objects[0].value, "1");
+    }
+}
+
 Test(store, a_name_is_one_segment_of_a_path)
 {
     const auto protocol = make_store_protocol();
