platform: a name that no header field can hold is no id

An entry of another writer that is sound but for a line end in its name became a server, and each call to it had a header field, or a whole request, of that writer's making. Cause: the id of a server and the name of a workspace go into the head of each call as they are. Nothing bounded their length either: ids go into the messages that peers exchange all the time.

--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -183,6 +183,39 @@
     cr_assert_not(parse_server_entry("i", "", regions).has_value());
 }
 
+namespace {
+
+/// Names that can't be sent in a header field as they are, or not to good end.
+const std::vector<std::string> unusable_ids{"",      " i-1",
+                                            "i-1\t", "i-1\r\nX-Odd: 1",
+                                            "i\n1",  std::string("i\0x", 3),
+                                            "i\x7f", std::string(1025, 'i')};
+
+} // namespace
+
+// The id of the server goes into the head of each call: a line end in the name
+// of another writer's entry began a header field, or the next request.
+Test(server_entry, a_name_that_no_header_field_can_hold_names_no_server)
+{
+    for (const std::string& id : unusable_ids)
+        cr_assert_not(parse_server_entry(id, server_text, regions).has_value(),
+                      "%s", id.c_str());
+    for (const std::string& id :
+         {std::string("i-1"), std::string("i 1"), std::string("a&b+%7E"),
+          std::string("\u00e9"), std::string(1024, 'i')})
+        cr_assert(parse_server_entry(id, server_text, regions).has_value(),
+                  "%s", id.c_str());
+}
+
+Test(route_settings, a_workspace_that_no_header_field_can_name_is_left_out)
+{
+    const auto read = parse_route_settings(
+        R"({"version":7,"tenants":[{"name":"a\r\nX-Odd: 1","apiKeys":["k1"]},
+        {"name":"b","apiKeys":["k2"]}]})");
+    cr_assert_eq(read->workspaces.size(), 1);
+    cr_assert_eq(read->workspaces[0].name.value(), "b");
+}
+
 Test(requests, read_what_decisions_need)
 {
     const auto arrival = make_request_protocol().read_request(some_head());
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -217,3 +217,17 @@
     cr_assert_eq(target("edge-1_a.b~c"),
                  "/objects/servers?after=edge-1_a.b~c&staleOk=1");
 }
+
+// The ids of instances go into messages of peers, log lines and calls.
+Test(store, a_name_that_is_no_id_names_no_instance)
+{
+    membership::member member;
+    member.caller_endpoint = {"10.1.0.1", 8000};
+    member.peer_endpoint = {"10.1.0.1", 8001};
+    const std::string value = print_member(member);
+    cr_assert(parse_member({"edge&1", 1, value}).has_value());
+    for (const std::string& name :
+         {std::string(), std::string("a\r\nb"), std::string(1025, 'a')})
+        cr_assert_not(parse_member({name, 1, value}).has_value(), "%s",
+                      name.c_str());
+}
