platform: the query of callers is decoded

A caller whose region or failure domain has a blank, a + or a letter beyond ASCII in its name was given addresses as if it had named none: not the nearest ones. Cause: parse_page_request took the parameters of /resolve as they came. Evidence: directory/the_query_of_callers_is_decoded failed on the code before.

--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -366,3 +366,23 @@
     cr_assert_eq(print_addresses({{"10.1.0.1", 80}}, absl::Seconds(2)),
                  R"({"addresses":["10.1.0.1:80"],"ttlS":2.0})");
 }
+
+// A caller whose region has a blank or a letter beyond ASCII in its name was
+// sent to any region.
+Test(directory, the_query_of_callers_is_decoded)
+{
+    const auto place_of = [](const std::string& target) {
+        return std::get<router::address_request>(parse_page_request(target))
+            .caller;
+    };
+    const auto escaped = place_of(
+        "/resolve?name=a&region=new%20riga&zone=riga%2Da%26b%2B%C3%A9");
+    cr_assert_eq(escaped.region.value(), "new riga");
+    cr_assert_eq(escaped.failure_domain.value(), "riga-a&b+\u00e9");
+    cr_assert_eq(place_of("/resolve?region=new+riga").region.value(),
+                 "new riga");
+    for (const char* odd : {"%", "%zz", "%7", "100%"})
+        cr_assert_eq(
+            place_of(std::string("/resolve?region=") + odd).region.value(),
+            odd);
+}
