platform: an entry of more than 64 KB names nothing

Cause: the store takes values of a megabyte from any writer. Entries of servers are kept whole, parsed, and sent to peers; by reading, two of a megabyte exceed what view_relay sends (1.5 MB), and in a fleet of more than 12 each instance then lists and watches by itself. Evidence: store/an_entry_that_is_too_long_has_no_value failed on the code before. That a view beyond the limit is left out is held by view_relay_test. Change: the value of an entry among servers and instances has 64 KB at most, else it is left empty, as one that can't be read. Settings are not bounded by it.

--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -192,6 +192,36 @@
     }
 }
 
+// Two entries of a megabyte left no view of the servers small enough for peers,
+// so that each instance of a large fleet called the store itself.
+Test(store, an_entry_that_is_too_long_has_no_value)
+{
+    const auto value_sizes = [](const std::string& collection,
+                                std::size_t bytes) {
+        const std::string value = '"' + std::string(bytes - 2, 'x') + '"';
+        const auto protocol = make_store_protocol();
+        const auto page = std::get<follow::list_page>(
+            protocol.parse(follow::list_call{collection, "", false},
+                           {200, R"({"items":[)" + object_text("a", value) +
+                                     R"(],"hasMore":false,"at":9})"}));
+        const auto changes = std::get<follow::change_list>(protocol.parse(
+            follow::watch_call{collection, 1, absl::Seconds(1)},
+            {200, R"({"events":[{"deleted":false,"object":)" +
+                      object_text("a", value) + R"(}],"at":9})"}));
+        return std::pair(page.objects.at(0).value.size(),
+                         changes.changes.at(0).object.value.size());
+    };
+    constexpr std::size_t limit = std::size_t{64} * 1024;
+    using sizes = std::pair<std::size_t, std::size_t>;
+    for (const char* collection : {"servers", "oriolefall-instances"}) {
+        cr_assert(value_sizes(collection, limit) == sizes(limit, limit));
+        cr_assert(value_sizes(collection, limit + 1) == sizes(0, 0));
+    }
+    // Settings are as long as the store allows.
+    constexpr std::size_t megabyte = std::size_t{1} << 20;
+    cr_assert(value_sizes("config", megabyte) == sizes(megabyte, megabyte));
+}
+
 Test(store, a_name_is_one_segment_of_a_path)
 {
     const auto protocol = make_store_protocol();
