--- a/tests/router/router_metrics_test.cpp
+++ b/tests/router/router_metrics_test.cpp
@@ -49,6 +49,18 @@
                              "value=\"mean\"} 1.5"));
 }
 
+// Services are named by entries of the store.
+Test(router_metrics, labels_of_any_text_stay_within_their_line)
+{
+    router::router_metrics subject;
+    subject.record(dispatch::capacity_record{
+        routing::service_name("a\"} 1\nforged{b=\"\\"), {1, {5, 5, 5}, {}}});
+    const std::string text = subject.text({});
+    cr_assert(has_line(text, "oriolefall_server_call_limit{service=\"a\\\"} 1"
+                             "\\nforged{b=\\\"\\\\\",value=\"min\"} 5"));
+    cr_assert_eq(text.find("\nforged"), std::string::npos);
+}
+
 Test(router_metrics, separates_streaming_and_plain_latency_histograms)
 {
     router::router_metrics subject;
