follow: a list of instances that fails is logged

What callers saw: nothing. In the incident's form an instance did not register, and its log had no word for it: store_lost was written for followed collections alone. Cause: own_registration retried a list that failed and told nobody. Change: registration_hooks tell of the first failure, with its cause, and of the next complete list; the log lines are store_lost and store_back of the collection. The hook is new, so the test does not compile without it.

--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -12,15 +12,22 @@
 /// Lists after a write that may be older than the write.
 constexpr std::uint32_t max_lists_before_write_shows = 2;
 
+/// Why the answer to a list is no page.
+std::string cause_of(const call_result& result)
+{
+    const auto* failed = std::get_if<call_failed>(&result);
+    return failed != nullptr ? failed->cause : "answer that is no list";
+}
+
 } // namespace
 
 own_registration::own_registration(asio::io_context& context,
                                    core::endpoint store,
                                    registration_settings settings,
                                    store_protocol protocol,
-                                   listed_hook on_listed)
+                                   registration_hooks hooks)
     : context_(context), store_(std::move(store)), settings_(settings),
-      protocol_(std::move(protocol)), on_listed_(std::move(on_listed)),
+      protocol_(std::move(protocol)), hooks_(std::move(hooks)),
       list_connection_(std::make_shared<store_connection>(context_, store_)),
       list_timer_(context_)
 {
@@ -52,8 +59,12 @@
 {
     const auto [read_result, epoch] = read_answer(protocol_, call, result);
     const auto* page = std::get_if<list_page>(&read_result);
-    if (page == nullptr || epoch.value_or(epoch_) < epoch_) {
-        restart_list();
+    if (page == nullptr) {
+        on_list_failed(cause_of(read_result));
+        return;
+    }
+    if (epoch.value_or(epoch_) < epoch_) {
+        on_list_failed("list of an earlier epoch");
         return;
     }
     switch (list_.add(*page)) {
@@ -64,13 +75,15 @@
         finish_list();
         break;
     case list_progress::stalled:
-        restart_list();
+        on_list_failed(stalled_list_cause);
         break;
     }
 }
 
-void own_registration::restart_list()
+void own_registration::on_list_failed(const std::string& cause)
 {
+    if (!std::exchange(is_unreachable_, true))
+        hooks_.on_unreachable_changed(true, cause);
     list_.restart();
     schedule_list(settings_.retry_delay);
 }
@@ -78,10 +91,12 @@
 void own_registration::finish_list()
 {
     ++list_count_;
+    if (std::exchange(is_unreachable_, false))
+        hooks_.on_unreachable_changed(false, "");
     std::vector<stored_object> listed;
     std::ranges::copy(list_.objects() | std::views::values,
                       std::back_inserter(listed));
-    on_listed_(listed);
+    hooks_.on_listed(listed);
     // The object of the previous start of this instance is as good as a new
     // one. Another instance may have removed it, believing this one dead.
     const bool is_registered =
--- a/oriolefall/follow/own_registration.hpp
+++ b/oriolefall/follow/own_registration.hpp
@@ -38,18 +38,25 @@
     auto operator<=>(const own_object&) const = default;
 };
 
+/// Notifications of the registration. Called on the store thread.
+struct registration_hooks
+{
+    /// The collection was read completely.
+    std::function<void(const std::vector<stored_object>&)> on_listed;
+    /// The collection can't be listed, for this cause, or can again.
+    std::function<void(bool is_unreachable, const std::string& cause)>
+        on_unreachable_changed;
+};
+
 /// Keeps the object of this instance in the store and lists those of the
 /// others. Lists may be a few seconds old, which costs the store less. Called
 /// on the store thread.
 class own_registration
 {
 public:
-    /// The collection was read completely.
-    using listed_hook = std::function<void(const std::vector<stored_object>&)>;
-
     own_registration(asio::io_context& context, core::endpoint store,
                      registration_settings settings, store_protocol protocol,
-                     listed_hook on_listed);
+                     registration_hooks hooks);
 
     void start(own_object own);
     /// The store was restored from a copy, and may have lost the own object:
@@ -65,7 +72,7 @@
     void start_list();
     void on_list_page(const list_call& call, const store_result& result);
     /// Lists from the first page on, after a pause.
-    void restart_list();
+    void on_list_failed(const std::string& cause);
     void finish_list();
     void schedule_list(std::chrono::milliseconds delay);
     [[nodiscard]] std::chrono::milliseconds next_list_delay() const;
@@ -77,11 +84,13 @@
     core::endpoint store_;
     registration_settings settings_;
     store_protocol protocol_;
-    listed_hook on_listed_;
+    registration_hooks hooks_;
     own_object own_;
     std::shared_ptr<store_connection> list_connection_;
     asio::steady_timer list_timer_;
     paged_list list_;
+    /// Whether the last list failed.
+    bool is_unreachable_ = false;
     /// Number of complete lists.
     std::uint32_t list_count_ = 0;
     /// Number of complete lists when the own object was last written.
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -60,8 +60,13 @@
                        store_duty_hooks hooks)
     : settings_(std::move(settings)), protocol_(std::move(protocol)),
       hooks_(std::move(hooks)),
-      registration_(context_, settings_.store, settings_.registration,
-                    protocol_, hooks_.on_listed),
+      registration_(
+          context_, settings_.store, settings_.registration, protocol_,
+          {hooks_.on_listed,
+           [this](bool is_unreachable, const std::string& cause) {
+               hooks_.on_unreachable_changed(registration_.own().collection,
+                                             is_unreachable, cause);
+           }}),
       events_(settings_.ring_capacity), relay_timer_(context_),
       path_connection_(
           std::make_shared<store_connection>(context_, settings_.store))
--- a/tests/follow/list_progress_test.cpp
+++ b/tests/follow/list_progress_test.cpp
@@ -138,29 +138,92 @@
     cr_assert_leq(follower.next_call().second, end);
 }
 
-// The list of instances went round some 200,000 times in 10 s.
-Test(list_progress, the_list_of_instances_that_goes_round_has_pauses)
+namespace {
+
+/// A store that answers each call, and counts them.
+class counting_store
+{
+public:
+    counting_store()
+        : server_([this](scripted_connection& connection) {
+              while (!connection.read_request().empty()) {
+                  ++calls_;
+                  connection.write(
+                      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+              }
+          })
+    {
+    }
+
+    [[nodiscard]] core::endpoint endpoint() const
+    {
+        return server_.endpoint();
+    }
+
+    [[nodiscard]] int calls() const
+    {
+        return calls_;
+    }
+
+private:
+    std::atomic<int> calls_ = 0;
+    scripted_server server_;
+};
+
+/// Hooks of a protocol whose lists have the page that `page` gives.
+store_protocol protocol_with(const std::function<list_page()>& page)
 {
-    std::atomic<int> calls = 0;
-    scripted_server server([&calls](scripted_connection& connection) {
-        while (!connection.read_request().empty()) {
-            ++calls;
-            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
-        }
-    });
     store_protocol protocol;
     protocol.target = [](const read_call&) { return "/list"; };
-    protocol.parse = [](const read_call&, const store_answer&) {
-        return first_page;
+    protocol.parse = [page](const read_call&, const store_answer&) {
+        return page();
     };
     protocol.epoch = [](const store_answer&) { return std::nullopt; };
+    protocol.put = [](const auto&, const auto&, const auto& value) {
+        return std::vector<store_request>{{http::verb::post, "/", value}};
+    };
+    return protocol;
+}
+
+} // namespace
+
+// The list of instances went round some 200,000 times in 10 s.
+Test(list_progress, the_list_of_instances_that_goes_round_has_pauses)
+{
+    counting_store store;
     asio::io_context context{1};
     const registration_settings settings;
     own_registration registration(
-        context, server.endpoint(), settings, protocol,
-        [](const std::vector<stored_object>&) { cr_assert(false); });
+        context, store.endpoint(), settings,
+        protocol_with([] { return first_page; }),
+        {[](const auto&) { cr_assert(false); }, [](bool, const auto&) {}});
     registration.start({"instances", "edge-1", "{}"});
     constexpr int rounds = 3;
     context.run_for(rounds * settings.retry_delay);
-    cr_assert_leq(calls, 2 * (rounds + 1));
+    cr_assert_leq(store.calls(), 2 * (rounds + 1));
+}
+
+// An instance that did not register had no word for it in its log.
+Test(list_progress, a_list_of_instances_that_fails_is_told_once_with_its_end)
+{
+    counting_store store;
+    asio::io_context context{1};
+    registration_settings settings;
+    settings.retry_delay = std::chrono::milliseconds(1);
+    std::vector<std::string> told;
+    int pages = 0;
+    own_registration registration(
+        context, store.endpoint(), settings, protocol_with([&pages] {
+            constexpr int stalled_pages = 6;
+            return ++pages <= stalled_pages ? first_page : whole_page;
+        }),
+        {[&context](const auto&) { context.stop(); },
+         [&told](bool is_unreachable, const std::string& cause) {
+             told.push_back(is_unreachable ? "lost: " + cause : "back");
+         }});
+    registration.start({"instances", "edge-1", "{}"});
+    context.run_for(std::chrono::seconds(20));
+    const std::vector<std::string> expected{
+        std::string("lost: ") + stalled_list_cause, "back"};
+    cr_assert(told == expected);
 }
--- a/tests/follow/own_registration_test.cpp
+++ b/tests/follow/own_registration_test.cpp
@@ -69,7 +69,8 @@
     explicit registering_instance(const std::vector<stored_object>& listed)
         : registration(
               context, store.endpoint(), fast_settings(), protocol(listed),
-              [this](const std::vector<stored_object>&) { ++list_count; })
+              {[this](const std::vector<stored_object>&) { ++list_count; },
+               [](bool, const std::string&) {}})
     {
         registration.start(own);
     }
