follow: pages without end are a failure, and are asked for at a bounded rate

What callers saw: nothing yet; found when the change was read once more. A store that names new objects on page after page was asked for them as fast as it answered, and the memory filled. Cause: a page was held to bring something new, but nothing bounded how much, and only lists that begin anew had a pause. Evidence: list_progress/pages_without_end_are_a_failure failed without the bound. The spacing is a new setting, so its test does not compile without it. Change: paged_list stalls beyond 65,536 objects. store_connection can space the starts of its calls; the connections on which lists are read (followed collections, instances, tasks of the duties) space them by 20 ms, 50 calls a second. Between regions an answer takes longer, so a list waits there no more. Why it works: the one place that pages and the one place that calls hold the bounds, for each list alike.

--- a/oriolefall/follow/own_registration.cpp
+++ b/oriolefall/follow/own_registration.cpp
@@ -28,7 +28,8 @@
                                    registration_hooks hooks)
     : context_(context), store_(std::move(store)), settings_(settings),
       protocol_(std::move(protocol)), hooks_(std::move(hooks)),
-      list_connection_(std::make_shared<store_connection>(context_, store_)),
+      list_connection_(std::make_shared<store_connection>(
+          context_, store_, list_connection_settings)),
       list_timer_(context_)
 {
 }
--- a/oriolefall/follow/paged_list.cpp
+++ b/oriolefall/follow/paged_list.cpp
@@ -9,7 +9,8 @@
         objects_.insert_or_assign(object.name, object);
     if (!page.has_more)
         return list_progress::complete;
-    if (objects_.size() == known_objects)
+    if (objects_.size() == known_objects ||
+        objects_.size() > max_listed_objects)
         return list_progress::stalled;
     cursor_ = page.objects.back().name;
     return list_progress::more;
--- a/oriolefall/follow/paged_list.hpp
+++ b/oriolefall/follow/paged_list.hpp
@@ -3,6 +3,7 @@
 
 #include "oriolefall/follow/stored_object.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -16,13 +17,17 @@
     more,
     complete,
     /// More pages follow, but this one has no object that is not on a page
-    /// before it: the list would never end.
+    /// before it, or there are more objects than any collection has: the list
+    /// would never end.
     stalled
 };
 
 /// Cause of a stalled list, for the log.
 inline constexpr const char* stalled_list_cause = "list that makes no progress";
 
+/// Objects of a list after which no more pages are asked for.
+inline constexpr std::size_t max_listed_objects = std::size_t{64} * 1024;
+
 /// The objects of a collection that is listed page by page. Not thread-safe.
 class paged_list
 {
--- a/oriolefall/follow/store_connection.cpp
+++ b/oriolefall/follow/store_connection.cpp
@@ -35,7 +35,8 @@
 store_connection::store_connection(asio::io_context& context,
                                    core::endpoint store,
                                    store_connection_settings settings)
-    : context_(context), store_(std::move(store)), settings_(settings)
+    : context_(context), store_(std::move(store)), settings_(settings),
+      start_timer_(context)
 {
 }
 
@@ -55,12 +56,26 @@
         request_.body() = request.body;
     }
     request_.prepare_payload();
+    timeout_ = request.timeout;
+    const auto now = std::chrono::steady_clock::now();
+    const auto start_at = std::max(now, next_start_at_);
+    next_start_at_ = start_at + settings_.min_call_interval;
+    if (start_at == now) {
+        start();
+        return;
+    }
+    start_timer_.expires_at(start_at);
+    start_timer_.async_wait(
+        [self = shared_from_this()](const error_code&) { self->start(); });
+}
+
+void store_connection::start()
+{
     if (is_unusable())
         stream_.reset();
     const bool is_connected = stream_.has_value();
     if (!is_connected)
         stream_.emplace(context_);
-    timeout_ = request.timeout;
     if (is_connected) {
         send();
         return;
--- a/oriolefall/follow/store_connection.hpp
+++ b/oriolefall/follow/store_connection.hpp
@@ -55,8 +55,16 @@
     /// Closes with a reset, also when the process ends: bytes that are not yet
     /// sent or acknowledged are dropped instead of being sent later.
     bool resets_on_close = false;
+    /// Least time between the starts of two calls. A call that is made earlier
+    /// waits.
+    std::chrono::milliseconds min_call_interval{0};
 };
 
+/// For connections on which pages of lists follow each other: however fast the
+/// store answers, a list makes 50 calls per second at most.
+inline constexpr store_connection_settings list_connection_settings{
+    .min_call_interval = std::chrono::milliseconds(20)};
+
 /// A connection to the store that is reused between calls, one call at a time.
 /// It is closed after a failed call. Called on the store thread.
 class store_connection : public std::enable_shared_from_this<store_connection>
@@ -78,6 +86,8 @@
     /// Bytes came while no call was made, which answer none, or the other side
     /// has closed the connection.
     [[nodiscard]] bool is_unusable();
+    /// Sends the call, on a new connection if there is none that can be used.
+    void start();
     void set_options();
     void send();
     void receive();
@@ -94,6 +104,9 @@
     asio::io_context& context_;
     core::endpoint store_;
     store_connection_settings settings_;
+    /// Waits until the next call may start.
+    asio::steady_timer start_timer_;
+    std::chrono::steady_clock::time_point next_start_at_{};
     std::optional<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
--- a/oriolefall/follow/store_duty.cpp
+++ b/oriolefall/follow/store_duty.cpp
@@ -43,7 +43,8 @@
     followed_collection(asio::io_context& context, const core::endpoint& store,
                         follower_settings settings)
         : name(settings.collection), follower(std::move(settings)),
-          connection(std::make_shared<store_connection>(context, store)),
+          connection(std::make_shared<store_connection>(
+              context, store, list_connection_settings)),
           call_timer(context), expiry_timer(context)
     {
     }
--- a/oriolefall/singleton/singleton_duty.cpp
+++ b/oriolefall/singleton/singleton_duty.cpp
@@ -48,8 +48,8 @@
           {hooks_.clock, random_source(), [this] { step(); },
            hooks_.on_store_epoch}),
       runner_(settings_, protocol_,
-              {std::make_shared<follow::store_connection>(context_,
-                                                          settings_.store),
+              {std::make_shared<follow::store_connection>(
+                   context_, settings_.store, follow::list_connection_settings),
                connection_to_provider(context_, settings_)}),
       bucket_(settings_.provider_calls_per_s, settings_.provider_burst),
       publisher_(
--- a/tests/adapter/duty_codec_test.cpp
+++ b/tests/adapter/duty_codec_test.cpp
@@ -51,6 +51,13 @@
     cr_assert_eq(text, R"({"counts":{},"windowId":1})");
 }
 
+// The list of objects of the duties goes on from names in the same way.
+Test(duty_codec, a_name_is_escaped_in_a_list_of_objects)
+{
+    cr_assert_eq(protocol.list("oriolefall-duties", "a&b+%41").target,
+                 "/objects/oriolefall-duties?after=a%26b%2B%2541");
+}
+
 // An unconditional write would take the lease from its holder.
 Test(duty_codec, writes_to_the_store_are_conditional)
 {
--- a/tests/follow/list_progress_test.cpp
+++ b/tests/follow/list_progress_test.cpp
@@ -49,9 +49,14 @@
 const list_page first_page{{{"a", 1, "{}"}, {"b", 2, "{}"}}, true, 10};
 const list_page whole_page{{{"a", 1, "{}"}}, false, 10};
 
-bool is_list(const read_call& call)
+/// Answers lists with the whole page, and watches with this.
+answer_hook whole_list_then(const call_result& watch_answer)
 {
-    return std::holds_alternative<list_call>(call);
+    return [watch_answer](const read_call& call) -> call_result {
+        if (std::holds_alternative<list_call>(call))
+            return whole_page;
+        return watch_answer;
+    };
 }
 
 } // namespace
@@ -99,17 +104,39 @@
     cr_assert_not(follower.view().objects.contains("b"));
 }
 
-// Each list was followed by a watch that said 410, without a pause.
-Test(list_progress, a_history_that_is_always_gone_is_listed_with_pauses)
+// Names without end filled the memory, page after page.
+Test(list_progress, pages_without_end_are_a_failure)
+{
+    paged_list list;
+    std::size_t pages = 0;
+    const auto next_page = [&pages] {
+        return list_page{{{std::to_string(pages++), 1, "{}"}}, true, 10};
+    };
+    while (list.add(next_page()) == list_progress::more)
+        cr_assert_leq(pages, max_listed_objects);
+    cr_assert_eq(list.objects().size(), max_listed_objects + 1);
+}
+
+// A page of entries whose names can't be read names nothing to go on from.
+Test(list_progress, a_page_without_names_is_retried_with_backoff)
 {
     const follower_settings settings{.collection = "servers"};
     collection_follower follower(settings);
     const int calls =
-        count_calls(follower, [](const read_call& call) -> call_result {
-            if (is_list(call))
-                return whole_page;
-            return history_gone{};
+        count_calls(follower, [](const read_call&) -> call_result {
+            return call_failed{"list that names nothing to go on from"};
         });
+    // The delays double up to the longest.
+    constexpr int doublings = 4;
+    cr_assert_leq(calls, doublings + most_calls(settings.max_backoff));
+}
+
+// Each list was followed by a watch that said 410, without a pause.
+Test(list_progress, a_history_that_is_always_gone_is_listed_with_pauses)
+{
+    const follower_settings settings{.collection = "servers"};
+    collection_follower follower(settings);
+    const int calls = count_calls(follower, whole_list_then(history_gone{}));
     cr_assert_leq(calls, 2 * most_calls(settings.relist_delay));
 }
 
@@ -119,11 +146,7 @@
     const follower_settings settings{.collection = "servers"};
     collection_follower follower(settings);
     const int calls =
-        count_calls(follower, [](const read_call& call) -> call_result {
-            if (is_list(call))
-                return whole_page;
-            return change_list{{}, 10};
-        });
+        count_calls(follower, whole_list_then(change_list{{}, 10}));
     cr_assert_leq(calls, 1 + most_calls(settings.batch_delay));
 }
 
--- a/tests/follow/store_connection_test.cpp
+++ b/tests/follow/store_connection_test.cpp
@@ -1,6 +1,7 @@
 #include "oriolefall/follow/store_connection.hpp"
 
 #include "oriolefall/core/concat.hpp"
+#include "tests/forward/scripted_server.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -9,6 +10,7 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <stdexcept>
@@ -21,6 +23,8 @@
 
 using namespace oriolefall;
 using namespace oriolefall::follow;
+using tests::always_answers;
+using tests::scripted_server;
 
 namespace {
 
@@ -293,3 +297,28 @@
     cr_assert_eq(accepted->read_some(asio::buffer(&byte, 1), error), 0);
     cr_assert(error == asio::error::connection_reset);
 }
+
+// The pages of a list were asked for as fast as the store answered.
+Test(store_connection, calls_on_the_connection_of_a_list_are_spaced)
+{
+    scripted_server server(
+        always_answers("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"));
+    asio::io_context context;
+    const auto connection = std::make_shared<store_connection>(
+        context, server.endpoint(), list_connection_settings);
+    constexpr int most_calls = 10;
+    int calls = 0;
+    std::function<void()> call = [&] {
+        connection->call({}, [&](const store_result& result) {
+            cr_assert(is_success(result));
+            if (++calls < most_calls)
+                call();
+        });
+    };
+    const auto begin = std::chrono::steady_clock::now();
+    call();
+    context.run();
+    cr_assert_eq(calls, most_calls);
+    cr_assert(std::chrono::steady_clock::now() - begin >=
+              (most_calls - 1) * list_connection_settings.min_call_interval);
+}
