--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -158,8 +158,8 @@
                 return await self.watch(kind, query)
             items = [objects[each] for each in sorted(objects)
                      if each > query.get("after", "")]
-            page = items[:500]
-            return 200, {"items": page, "hasMore": len(items) > 500,
+            page = self.first_page(items)
+            return 200, {"items": page, "hasMore": len(items) > len(page),
                          "at": self.revision}
         if method == "GET":
             found = objects.get(parts[1])
@@ -180,6 +180,17 @@
             self.put(kind, name, value.get("spec"))
         return 200, objects[name]
 
+    @staticmethod
+    def first_page(items):
+        """500 items or 1 MB at most, but one."""
+        page, size = [], 0
+        for each in items[:500]:
+            size += len(json.dumps(each))
+            if page and size > 1_048_576:
+                break
+            page.append(each)
+        return page
+
     async def watch(self, kind, query):
         since = int(query["watchFromRev"])
         until = time.monotonic() + int(query.get("waitMs", "1000")) / 1000
