--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -2,6 +2,7 @@
 clients and a runner of instances. Only loopback addresses and free ports."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -262,6 +263,12 @@
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 
 
+def die_with_parent():
+    """Called in a new process: it is killed when the script ends in whatever way."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 class Instance:
     """One process of the deploy file, with the settings of a small deployment."""
 
@@ -306,7 +313,7 @@
         self.log = open(self.log_path, "ab")
         self.process = subprocess.Popen(
             [os.path.join(ROOT, "target/oriolefall"), "instance"], cwd=ROOT,
-            env=environment, stdout=self.log, stderr=self.log)
+            env=environment, stdout=self.log, stderr=self.log, preexec_fn=die_with_parent)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -392,11 +399,17 @@
 
 def run(folder, main, limit=110):
     """Runs `main(record, folder of the run)` and exits with its result."""
+    async def play(work):
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(main(record, work), limit)
+
     record = Record(folder)
     with tempfile.TemporaryDirectory() as work:
         try:
-            result = asyncio.run(asyncio.wait_for(main(record, work), limit))
-        except Exception as error:  # pylint: disable=broad-except
+            result = asyncio.run(play(work))
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             record.write(f"could not run: {error!r}")
             result = COULD_NOT_RUN
     record.write(f"result {result}")
